Add the workspace, base vocabulary, wire codec and configuration document

The decision crates need a common vocabulary before they can be written side by side. fuchsiabay-base holds ids, time, verdicts and the invariant macro; fuchsiabay-wire holds the frame codec, messages and authentication; fuchsiabay-config holds the document that operators publish.

--- /dev/null
+++ b/crates/fuchsiabay-base/src/fingerprint.rs
@@ -0,0 +1,38 @@
+//! Content fingerprints of requests.
+
+use std::fmt;
+
+use serde_with::{DeserializeFromStr, SerializeDisplay};
+use xxhash_rust::xxh3::Xxh3;
+
+/// A 128-bit content hash of a request: its workspace, route and body.
+///
+/// It recognises a request that is sent again, whatever connection or entry instance it arrives through.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr)]
+pub struct Fingerprint(u128);
+
+impl Fingerprint {
+    /// Hashes the parts of a request. Lengths are hashed too, so that moving bytes between parts changes the hash.
+    pub fn of(parts: &[&[u8]]) -> Self {
+        let mut hasher = Xxh3::new();
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        Self(hasher.digest128())
+    }
+}
+
+impl fmt::Display for Fingerprint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl std::str::FromStr for Fingerprint {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        u128::from_str_radix(s, 16).map(Self)
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-base/src/lib.rs
@@ -0,0 +1,20 @@
+//! Vocabulary shared by every crate: ids, time, verdicts, fingerprints and invariants.
+//!
+//! This crate must not know sockets, clocks or settings. Time enters as a [`Timestamp`] argument, so that the
+//! same decision code runs in the daemons, in randomised runs on virtual time and in trace replay.
+
+mod fingerprint;
+mod idempotency_key;
+mod ids;
+mod invariant;
+mod timestamp;
+mod verdict;
+
+pub use fingerprint::Fingerprint;
+pub use idempotency_key::{IdempotencyKey, InvalidKey};
+pub use ids::{AttemptId, Generation, InstanceId, ServiceName, WorkspaceId, WriterId, ZoneName};
+#[doc(hidden)]
+pub use invariant::record_violation;
+pub use invariant::violations;
+pub use timestamp::Timestamp;
+pub use verdict::Verdict;
--- /dev/null
+++ b/crates/fuchsiabay-config/src/preset.rs
@@ -0,0 +1,74 @@
+//! Presets.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Millis, Problem};
+
+/// The limits that hold while a preset is in force.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Preset {
+    /// Attempts that may wait at one backend server.
+    pub queue_limit: u32,
+    /// The share of a backend server's slots that long work may hold, in percent.
+    pub long_share_percent: u32,
+    /// After this wait, long work goes before short work that came later, so that long work finishes too.
+    pub ageing_ms: Millis,
+    /// Work estimated above this number of tokens counts as long.
+    pub long_work_tokens: u32,
+    /// The limit of `max_tokens` of one request.
+    pub max_output_tokens: u32,
+    /// Retries as a share of first attempts, in percent.
+    pub retry_budget_percent: u32,
+    /// Another availability zone is used when its predicted wait is shorter by this much.
+    pub spill_over_ms: Millis,
+    /// A fingerprint that crashed this many backend servers is refused.
+    pub quarantine_crashes: u32,
+    /// How long a quarantined fingerprint is refused.
+    pub quarantine_ms: Millis,
+    /// The deadline of a chat completion that states none.
+    pub default_deadline_ms: Millis,
+    /// The time that a drain may take before remaining work is cut off.
+    pub drain_ms: Millis,
+}
+
+impl Preset {
+    /// Appends a problem for each field whose value is not allowed. `path` names the preset.
+    pub(crate) fn check(&self, path: &str, problems: &mut Vec<Problem>) {
+        let mut require = |ok: bool, field: &str, allowed: &str| {
+            if !ok {
+                problems.push(Problem::new(format!("{path}.{field}"), allowed));
+            }
+        };
+        require((1..=100_000).contains(&self.queue_limit), "queue_limit", "allowed: 1 to 100000 attempts");
+        require(
+            (1..=100).contains(&self.long_share_percent),
+            "long_share_percent",
+            "allowed: 1 to 100 percent",
+        );
+        require(self.ageing_ms.0 >= 1, "ageing_ms", "allowed: 1 ms or more");
+        require(self.long_work_tokens >= 1, "long_work_tokens", "allowed: 1 token or more");
+        require(
+            (1..=1_000_000).contains(&self.max_output_tokens),
+            "max_output_tokens",
+            "allowed: 1 to 1000000 tokens",
+        );
+        require(self.retry_budget_percent <= 100, "retry_budget_percent", "allowed: 0 to 100 percent");
+        require(
+            (1..=100).contains(&self.quarantine_crashes),
+            "quarantine_crashes",
+            "allowed: 1 to 100 crashes",
+        );
+        require(self.quarantine_ms.0 >= 1, "quarantine_ms", "allowed: 1 ms or more");
+        require(
+            (1..=86_400_000).contains(&self.default_deadline_ms.0),
+            "default_deadline_ms",
+            "allowed: 1 ms to 86400000 ms (one day)",
+        );
+        require(
+            (1..=86_400_000).contains(&self.drain_ms.0),
+            "drain_ms",
+            "allowed: 1 ms to 86400000 ms (one day)",
+        );
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-config/src/problem.rs
@@ -0,0 +1,25 @@
+//! A fault of a configuration document.
+
+use std::fmt;
+
+/// Names the field at fault and what is allowed in it.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub struct Problem {
+    /// The path of the field, for example `presets.peak.long_share_percent`.
+    pub field: String,
+    /// What is allowed.
+    pub allowed: String,
+}
+
+impl Problem {
+    /// Builds a problem of `field`.
+    pub fn new(field: impl Into<String>, allowed: impl Into<String>) -> Self {
+        Self { field: field.into(), allowed: allowed.into() }
+    }
+}
+
+impl fmt::Display for Problem {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}: {}", self.field, self.allowed)
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-config/src/route.rs
@@ -0,0 +1,50 @@
+//! Routes of plain services.
+
+use fuchsiabay_base::ServiceName;
+use serde::{Deserialize, Serialize};
+
+use crate::Millis;
+
+/// How long work is expected to run.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum WorkClass {
+    /// Look-ups and quick summaries.
+    #[default]
+    Short,
+    /// Long logs and large sets.
+    Long,
+}
+
+/// A route of a plain service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Route {
+    /// The HTTP method, in capitals.
+    pub method: String,
+    /// The path. A trailing `/*` matches every path below it.
+    pub path: String,
+    /// The service that serves the route.
+    pub service: ServiceName,
+    /// Whether a second run is harmless. A route that is not idempotent requires an `Idempotency-Key` and runs
+    /// at most once.
+    pub idempotent: bool,
+    /// How long its calls are expected to run.
+    #[serde(default)]
+    pub class: WorkClass,
+    /// The deadline of a call that states none.
+    pub default_deadline_ms: Millis,
+}
+
+impl Route {
+    /// Returns whether the route serves `method` and `path`, which excludes the query.
+    pub fn matches(&self, method: &str, path: &str) -> bool {
+        if self.method != method {
+            return false;
+        }
+        let Some(prefix) = self.path.strip_suffix("/*") else {
+            return self.path == path;
+        };
+        path.strip_prefix(prefix).is_some_and(|rest| rest.starts_with('/') && rest.len() > 1)
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-config/src/service.rs
@@ -0,0 +1,21 @@
+//! Services that backend servers offer.
+
+use serde::{Deserialize, Serialize};
+
+/// What kind of backend server offers a service.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ServiceKind {
+    /// A model engine, called through chat completions under the service's name as the model.
+    Model,
+    /// A plain HTTP service, called through its routes.
+    Plain,
+}
+
+/// A service.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Service {
+    /// Its kind.
+    pub kind: ServiceKind,
+}
--- /dev/null
+++ b/crates/fuchsiabay-runtime/src/lib.rs
@@ -0,0 +1,1 @@
+//! smol I/O of the daemons.
--- /dev/null
+++ b/crates/fuchsiabay-wire/tests/frames.rs
@@ -0,0 +1,86 @@
+//! Any bytes give frames or a clear error, and frames survive the trip however the stream is cut.
+
+use fuchsiabay_base::{AttemptId, Verdict};
+use fuchsiabay_wire::{DecodeError, End, Frame, FrameDecoder, SharedKey, Tokens};
+use quickcheck::quickcheck;
+
+fn decode_in_pieces(bytes: &[u8], piece: usize) -> Result<Vec<Frame>, DecodeError> {
+    let mut decoder = FrameDecoder::default();
+    let mut frames = Vec::new();
+    for chunk in bytes.chunks(piece.max(1)) {
+        decoder.extend(chunk);
+        while let Some(frame) = decoder.next_frame()? {
+            frames.push(frame);
+        }
+    }
+    Ok(frames)
+}
+
+fn check(bytes: &[u8], expected: Result<usize, DecodeError>) {
+    for piece in [1, 3, 4096] {
+        assert_eq!(decode_in_pieces(bytes, piece).map(|frames| frames.len()), expected);
+    }
+}
+
+macro_rules! cases {
+    ($($name:ident: $bytes:expr => $expected:expr;)+) => { $(#[test] fn $name() { check($bytes, $expected); })+ };
+}
+
+// Each of these must close the connection or wait for more bytes, and never be taken for a message.
+cases! {
+    nothing: b"" => Ok(0);
+    truncated_length: &[0, 0] => Ok(0);
+    truncated_payload: &[0, 0, 0, 5, 3, b'{'] => Ok(0);
+    empty_frame: &[0, 0, 0, 0] => Err(DecodeError::Empty);
+    oversize: &[0xff, 0xff, 0xff, 0xff, 3] => Err(DecodeError::TooLarge(0xffff_ffff));
+    unknown_kind: &[0, 0, 0, 1, 99] => Err(DecodeError::UnknownKind(99));
+    short_tokens: &[0, 0, 0, 3, 5, 0, 0] => Err(DecodeError::Malformed(5));
+    short_auth: &[0, 0, 0, 2, 2, 0] => Err(DecodeError::Malformed(2));
+    request_not_utf8: &[0, 0, 0, 2, 3, 0xff] => Err(DecodeError::Malformed(3));
+    end_not_json: &[0, 0, 0, 2, 6, b'x'] => Err(DecodeError::Malformed(6));
+    http_instead: b"GET / HTTP/1.1\r\n\r\n" => Err(DecodeError::TooLarge(0x4745_5420));
+}
+
+quickcheck! {
+    fn any_bytes_never_panic(bytes: Vec<u8>, piece: usize) -> bool {
+        let _ = decode_in_pieces(&bytes, piece % 64);
+        true
+    }
+
+    fn frames_round_trip(attempt: u64, first: u32, count: u16, text: Vec<u8>, total: u32, piece: usize) -> bool {
+        let attempt = AttemptId(attempt);
+        let end = End { attempt, verdict: Verdict::Ran, total_tokens: total, error: None, response: None };
+        let frames = vec![
+            Frame::Tokens(Tokens { attempt, first, count, text: text.clone() }),
+            Frame::Request("{}".to_owned()),
+            Frame::End(Box::new(end)),
+            Frame::Auth([7; 32]),
+            Frame::Hello(text),
+        ];
+        let mut buf = Vec::new();
+        for frame in &frames {
+            frame.encode(&mut buf).expect("the frame is small");
+        }
+        decode_in_pieces(&buf, piece % 64) == Ok(frames)
+    }
+
+    // A tag that verified for another key, another hello or its own sender would admit an unknown peer.
+    fn tag_binds_key_and_both_hellos(key: Vec<u8>, own: Vec<u8>, peer: Vec<u8>) -> bool {
+        let shared = SharedKey::new(key.clone());
+        let tag = shared.tag(&own, &peer);
+        let mut other = key;
+        other.push(1);
+        shared.verify(&own, &peer, &tag)
+            && !SharedKey::new(other).verify(&own, &peer, &tag)
+            && (own == peer || !shared.verify(&peer, &own, &tag))
+            && !shared.verify(&own, &peer, &tag[..31])
+    }
+}
+
+#[test]
+fn oversize_frame_is_not_sent() {
+    let mut buf = vec![1];
+    let frame = Frame::Request("x".repeat(1 << 20));
+    assert_eq!(frame.encode(&mut buf), Err(DecodeError::TooLarge((1 << 20) + 1)));
+    assert_eq!(buf, [1]);
+}
