--- /dev/null
+++ b/crates/fuchsiabay-admission/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission and scheduling of one backend server's work.
--- /dev/null
+++ b/crates/fuchsiabay-agent/src/lib.rs
@@ -0,0 +1,1 @@
+//! The agent beside a backend server: admission, claims, orders and drain.
--- /dev/null
+++ b/crates/fuchsiabay-agent/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts `fuchsiabay-agent`.
+
+fn main() {}
--- /dev/null
+++ b/crates/fuchsiabay-bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins and load generator, for tests and measurements only.
--- /dev/null
+++ b/crates/fuchsiabay-bench/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts `fuchsiabay-bench`.
+
+fn main() {}
--- /dev/null
+++ b/crates/fuchsiabay-claims/src/lib.rs
@@ -0,0 +1,1 @@
+//! At-most-once claims over a log.
--- /dev/null
+++ b/crates/fuchsiabay-entry/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts `fuchsiabay-entry`.
+
+fn main() {}
--- /dev/null
+++ b/crates/fuchsiabay-experts/src/lib.rs
@@ -0,0 +1,1 @@
+//! Expert maps: ledger, step gate and placement.
--- /dev/null
+++ b/crates/fuchsiabay-fencing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Fenced orders to one backend server.
--- /dev/null
+++ b/crates/fuchsiabay-follow/src/lib.rs
@@ -0,0 +1,1 @@
+//! Follows the configuration: reads the log or pulls from neighbours.
--- /dev/null
+++ b/crates/fuchsiabay-prove/src/lib.rs
@@ -0,0 +1,1 @@
+//! Randomised runs of the decision code on virtual time, and trace replay.
--- /dev/null
+++ b/crates/fuchsiabay-prove/src/main.rs
@@ -0,0 +1,3 @@
+//! Starts `fuchsiabay-prove`.
+
+fn main() {}
--- /dev/null
+++ b/crates/fuchsiabay-routing/src/lib.rs
@@ -0,0 +1,1 @@
+//! Choice of a backend server, retry budgets and quarantine.
--- /dev/null
+++ b/crates/fuchsiabay-settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings of the daemons, in JSON with comments.
--- /dev/null
+++ b/crates/fuchsiabay/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operator's command.
--- a/xtask/src/ci.rs
+++ b/xtask/src/ci.rs
@@ -7,6 +7,5 @@
     cargo(&["fmt", "--all", "--check"], &[])?;
     cargo(&["clippy", "--locked", "--workspace", "--all-targets", "--", "-D", "warnings"], &[])?;
     cargo(&["doc", "--locked", "--workspace", "--no-deps"], &[("RUSTDOCFLAGS", "-D warnings")])?;
-    // A fixed number of quickcheck cases keeps the duration of the run steady.
-    cargo(&["test", "--locked", "--workspace"], &[("QUICKCHECK_TESTS", "200")])
+    cargo(&["test", "--locked", "--workspace"], &[])
 }
