Add authenticated peer connections over smol TCP

Entry instances and agents need many concurrent calls and token streams on one connection, and a caller must know whether a call that failed was ever written. Each request carries a write ticket that is decided once: handed to the socket or withdrawn.

--- /dev/null
+++ b/crates/fuchsiabay-runtime/src/peer/call.rs
@@ -0,0 +1,43 @@
+//! Failures of remote calls.
+
+use fuchsiabay_base::Verdict;
+
+/// Why a remote call has no result.
+#[derive(Debug, thiserror::Error)]
+pub enum CallError {
+    /// The connection was closed, or the deadline passed, before the request was handed to the socket.
+    #[error("the request was not sent")]
+    NotSent,
+    /// The connection was lost after the request was handed to the socket.
+    #[error("the connection was lost before the reply")]
+    ConnectionLost,
+    /// The deadline passed after the request was handed to the socket.
+    #[error("the deadline passed before the reply")]
+    DeadlinePassed,
+    /// The request exceeds the frame limit and was not sent.
+    #[error("the request exceeds the frame limit")]
+    TooLarge,
+    /// The peer replied with an error object.
+    #[error("the peer replied with error {code}: {message}")]
+    Remote {
+        /// The JSON-RPC error code.
+        code: i32,
+        /// The message of the peer.
+        message: String,
+    },
+    /// The reply does not have the expected form.
+    #[error("malformed reply: {0}")]
+    Malformed(#[source] serde_json::Error),
+}
+
+impl CallError {
+    /// Returns whether the call may have had an effect.
+    pub fn verdict(&self) -> Verdict {
+        match self {
+            Self::NotSent | Self::TooLarge => Verdict::NotRun,
+            Self::ConnectionLost | Self::DeadlinePassed | Self::Remote { .. } | Self::Malformed(_) => {
+                Verdict::MayHaveRun
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-runtime/src/peer/handshake.rs
@@ -0,0 +1,107 @@
+//! Introduction and mutual authentication.
+
+use std::io;
+
+use fuchsiabay_base::{Generation, InstanceId, ZoneName};
+use fuchsiabay_wire::{DecodeError, Frame, FrameDecoder, Hello, PROTOCOL_VERSION, Role, SharedKey};
+use smol::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+/// Who this process is.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Identity {
+    /// The role.
+    pub role: Role,
+    /// The instance.
+    pub instance: InstanceId,
+    /// The life of the instance.
+    pub generation: Generation,
+    /// The availability zone.
+    pub zone: ZoneName,
+}
+
+/// Why there is no connection. Nothing was run.
+#[derive(Debug, thiserror::Error)]
+pub enum ConnectError {
+    /// The socket failed.
+    #[error("socket error: {0}")]
+    Io(#[from] io::Error),
+    /// The peer sent something that is not a frame.
+    #[error("protocol error: {0}")]
+    Decode(#[from] DecodeError),
+    /// The peer speaks another version of the protocol.
+    #[error("the peer speaks protocol version {0}, this process version {PROTOCOL_VERSION}")]
+    Version(u16),
+    /// The peer did not introduce itself as the protocol demands.
+    #[error("the peer broke the handshake")]
+    Handshake,
+    /// The peer does not hold the shared key.
+    #[error("the peer did not prove that it holds the shared key")]
+    Unauthenticated,
+    /// The deadline passed.
+    #[error("the deadline passed")]
+    DeadlinePassed,
+}
+
+/// Authenticates both sides. Returns the peer's hello and the decoder with bytes that followed the handshake.
+pub(crate) async fn run(
+    socket: &mut TcpStream,
+    own: &Identity,
+    key: &SharedKey,
+) -> Result<(Hello, FrameDecoder), ConnectError> {
+    let own_hello = Hello {
+        protocol: PROTOCOL_VERSION,
+        role: own.role,
+        instance: own.instance.clone(),
+        generation: own.generation,
+        zone: own.zone.clone(),
+        nonce: fastrand::u128(..),
+    };
+    let hello_frame = Frame::hello(&own_hello);
+    send(socket, &hello_frame).await?;
+    let Frame::Hello(own_payload) = hello_frame else {
+        return Err(ConnectError::Handshake);
+    };
+
+    let mut decoder = FrameDecoder::default();
+    let Frame::Hello(peer_payload) = receive(socket, &mut decoder).await? else {
+        return Err(ConnectError::Handshake);
+    };
+    let peer_hello: Hello = serde_json::from_slice(&peer_payload).map_err(|_| ConnectError::Handshake)?;
+    if peer_hello.protocol != PROTOCOL_VERSION {
+        return Err(ConnectError::Version(peer_hello.protocol));
+    }
+
+    send(socket, &Frame::Auth(key.tag(&own_payload, &peer_payload))).await?;
+    let Frame::Auth(tag) = receive(socket, &mut decoder).await? else {
+        return Err(ConnectError::Handshake);
+    };
+    // A reflected hello would carry this side's own nonce; the tag over both payloads would then verify too.
+    if peer_payload == own_payload || !key.verify(&peer_payload, &own_payload, &tag) {
+        return Err(ConnectError::Unauthenticated);
+    }
+    Ok((peer_hello, decoder))
+}
+
+async fn send(socket: &mut TcpStream, frame: &Frame) -> Result<(), ConnectError> {
+    let mut buf = Vec::new();
+    frame.encode(&mut buf)?;
+    socket.write_all(&buf).await?;
+    Ok(())
+}
+
+async fn receive(socket: &mut TcpStream, decoder: &mut FrameDecoder) -> Result<Frame, ConnectError> {
+    let mut buf = [0; 1024];
+    loop {
+        if let Some(frame) = decoder.next_frame()? {
+            return Ok(frame);
+        }
+        let n = socket.read(&mut buf).await?;
+        if n == 0 {
+            return Err(io::Error::from(io::ErrorKind::UnexpectedEof).into());
+        }
+        decoder.extend(&buf[..n]);
+    }
+}
