--- a/crates/fuchsiabay-base/src/lib.rs
+++ b/crates/fuchsiabay-base/src/lib.rs
@@ -3,6 +3,7 @@
 //! This crate must not know sockets, clocks or settings. Time enters as a [`Timestamp`] argument, so that the
 //! same decision code runs in the daemons, in randomised runs on virtual time and in trace replay.
 
+mod ablation;
 mod fingerprint;
 mod idempotency_key;
 mod ids;
@@ -10,6 +11,9 @@
 mod timestamp;
 mod verdict;
 
+pub use ablation::mechanism;
+#[cfg(feature = "ablation")]
+pub use ablation::turn_off;
 pub use fingerprint::Fingerprint;
 pub use idempotency_key::{IdempotencyKey, InvalidKey};
 pub use ids::{AttemptId, Generation, InstanceId, ServiceName, WorkspaceId, WriterId, ZoneName};
--- /dev/null
+++ b/crates/fuchsiabay-config/src/in_force.rs
@@ -0,0 +1,52 @@
+//! The reduced state of the configuration.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Document, Preset};
+
+/// The configuration in force: one document and exactly one of its presets.
+///
+/// The version is one more than the offset of the accepted record, because zero stands for none on the wire.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(try_from = "Relayed", into = "Relayed")]
+pub struct InForce {
+    /// The version.
+    pub version: u64,
+    /// The document.
+    pub document: Document,
+    /// The name of the preset in force.
+    pub preset_name: String,
+    /// The preset in force.
+    pub preset: Preset,
+}
+
+/// The state as it is relayed. The preset is looked up again, so that it always belongs to the document.
+#[derive(Clone, Serialize, Deserialize)]
+struct Relayed {
+    version: u64,
+    document: Document,
+    preset_name: String,
+}
+
+impl InForce {
+    /// Puts `preset_name` of `document` in force. Returns none when the document has no such preset.
+    pub fn new(version: u64, document: Document, preset_name: String) -> Option<Self> {
+        let preset = document.presets.get(&preset_name)?.clone();
+        Some(Self { version, document, preset_name, preset })
+    }
+}
+
+impl TryFrom<Relayed> for InForce {
+    type Error = &'static str;
+
+    fn try_from(relayed: Relayed) -> Result<Self, Self::Error> {
+        Self::new(relayed.version, relayed.document, relayed.preset_name)
+            .ok_or("the document has no preset of the stated name")
+    }
+}
+
+impl From<InForce> for Relayed {
+    fn from(state: InForce) -> Self {
+        Self { version: state.version, document: state.document, preset_name: state.preset_name }
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-config/src/record.rs
@@ -0,0 +1,70 @@
+//! Records of the log stream `config`.
+
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::{Document, InForce};
+
+/// Identifies one publish or preset switch, so that a lost append answer can be settled by reading back.
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct PublishId(String);
+
+impl PublishId {
+    /// Wraps the text of an id, which the publisher draws at random.
+    pub fn new(id: impl Into<String>) -> Self {
+        Self(id.into())
+    }
+
+    /// Returns the text of the id.
+    pub fn as_str(&self) -> &str {
+        &self.0
+    }
+}
+
+/// A record of the stream `config`.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "record", rename_all = "kebab-case")]
+pub enum ConfigRecord {
+    /// Proposes a document.
+    Publish {
+        /// Identifies the proposal.
+        publish: PublishId,
+        /// The version that the author saw. Zero stands for none.
+        based_on: u64,
+        /// The document, unparsed: every reducer rejects a faulty one alike instead of skipping the record.
+        document: Value,
+    },
+    /// Proposes another preset of the document in force.
+    PresetSwitch {
+        /// Identifies the proposal.
+        publish: PublishId,
+        /// The version that the author saw.
+        based_on: u64,
+        /// The name of the preset.
+        preset: String,
+    },
+    /// Repeats the reduced state, so that retention cannot drop it.
+    Snapshot {
+        /// The state, or none while nothing was accepted.
+        state: Option<Box<InForce>>,
+        /// The offset of the last record that the state covers.
+        as_of: u64,
+    },
+}
+
+impl ConfigRecord {
+    /// Builds a proposal of `document`.
+    pub fn publish(publish: PublishId, based_on: u64, document: &Document) -> Self {
+        let document = serde_json::to_value(document).unwrap_or_default();
+        Self::Publish { publish, based_on, document }
+    }
+
+    /// Returns the id of a proposal.
+    pub fn publish_id(&self) -> Option<&PublishId> {
+        match self {
+            Self::Publish { publish, .. } | Self::PresetSwitch { publish, .. } => Some(publish),
+            Self::Snapshot { .. } => None,
+        }
+    }
+}
