Add clients of the log and the list, operators' HTTP, logging and shutdown signals

The daemons need the platform's log and instance list, a dump, health, readiness and metrics for operators, and an orderly way to stop.

Every call has a deadline. An append reports whether it may have taken effect: only a refused connection, an unusable address, a client error status or a passed deadline prove that it had none. A server error, a lost response and a time-out leave the effect unknown. Entries of the list that are not understood are left out, and records that are not understood fail the read, because a skipped record would look like a gap of offsets.

--- a/crates/fuchsiabay-runtime/src/lib.rs
+++ b/crates/fuchsiabay-runtime/src/lib.rs
@@ -5,10 +5,25 @@
 //! Invariant kept here: a call is reported as `not-run` only when its frame was never handed to the socket.
 
 mod clock;
+mod instance;
+mod list_client;
+mod log_client;
+mod log_page;
+pub mod logging;
+pub mod metrics_export;
+mod ops;
 mod peer;
+mod platform_http;
+mod shutdown;
 
 pub use clock::{monotonic_now, sleep_until, spawn, unix_now};
+pub use instance::{Instance, InstanceState};
+pub use list_client::{ListClient, ListError};
+pub use log_client::{LogClient, LogError};
+pub use log_page::{LogPage, LogRecord};
+pub use ops::{OpsServer, OpsSource};
 pub use peer::{
     AttemptEvent, AttemptStream, CallError, ConnectError, Identity, Peer, PeerClosed, PeerListener,
     PeerService,
 };
+pub use shutdown::{ShutdownOrder, ShutdownSignals};
