Add the scheduler of one backend server

Short work waited behind long work, and one workspace could hold every slot. The scheduler bounds the share of long work, ages it, pauses long streams that borrowed slots, and serves workspaces by virtual time in tokens.

--- /dev/null
+++ b/crates/fuchsiabay-admission/src/command.rs
@@ -0,0 +1,32 @@
+//! What the scheduler asks its caller to do.
+
+use serde::{Deserialize, Serialize};
+
+use crate::JobId;
+
+/// An order of the scheduler. Commands are carried out in the order in which they were given.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Command {
+    /// Starts the job on the backend server.
+    Start(JobId),
+    /// Reports that the job did not run and never will.
+    Drop(JobId, DropReason),
+    /// Cancels the running job at the backend server.
+    CancelRunning(JobId),
+    /// Pauses the running job at the backend server.
+    Pause(JobId),
+    /// Resumes the paused job at the backend server.
+    Resume(JobId),
+}
+
+/// Why a queued job was dropped.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum DropReason {
+    /// Its deadline passed.
+    DeadlinePassed,
+    /// The scheduler drains.
+    Draining,
+    /// The backend server went down.
+    BackendDown,
+}
--- /dev/null
+++ b/crates/fuchsiabay-admission/src/limits.rs
@@ -0,0 +1,36 @@
+//! Limits of the preset in force.
+
+use serde::{Deserialize, Serialize};
+
+use crate::Class;
+
+/// The limits that the scheduler works under.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Limits {
+    /// Jobs that may run at the same time.
+    pub slots: u32,
+    /// Jobs that may wait.
+    pub queue_limit: u32,
+    /// The share of the slots that long work may hold while short work waits, in percent.
+    pub long_share_percent: u32,
+    /// After this wait, long work goes before short work, within its share.
+    pub ageing_ms: u64,
+    /// Work estimated above this number of tokens is long.
+    pub long_work_tokens: u32,
+    /// After this wait of short work, a long job beyond the share of long work is paused. None never pauses.
+    pub pause_after_ms: Option<u64>,
+}
+
+impl Limits {
+    /// Returns the class of work that is expected to cost `tokens`.
+    pub const fn class(&self, tokens: u32) -> Class {
+        if tokens > self.long_work_tokens { Class::Long } else { Class::Short }
+    }
+
+    /// Returns the slots that long work may hold while short work waits. It is at least one, so that long work
+    /// finishes too.
+    pub const fn long_slots(&self) -> u32 {
+        let share = (self.slots as u64 * self.long_share_percent as u64 / 100) as u32;
+        if share == 0 { 1 } else { share }
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-admission/src/refusal.rs
@@ -0,0 +1,34 @@
+//! Refusals of new jobs.
+
+use serde::{Deserialize, Serialize};
+
+/// Why a job was not admitted.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, thiserror::Error)]
+#[serde(rename_all = "kebab-case")]
+pub enum RefusalCause {
+    /// The queue is full.
+    #[error("the queue is full")]
+    QueueFull,
+    /// The workspace holds its share of a queue that is nearly full.
+    #[error("the workspace holds its share of the queue")]
+    WorkspaceLimit,
+    /// The predicted wait passes the deadline.
+    #[error("the predicted wait passes the deadline")]
+    WouldMissDeadline,
+    /// The scheduler is draining.
+    #[error("the backend server is draining")]
+    Draining,
+    /// The backend server is down.
+    #[error("the backend server is down")]
+    BackendDown,
+}
+
+/// The refusal of a job, which was not queued and never starts.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[error("{cause}")]
+pub struct Refusal {
+    /// Why.
+    pub cause: RefusalCause,
+    /// When another try may succeed, in milliseconds.
+    pub retry_after_ms: u64,
+}
--- /dev/null
+++ b/crates/fuchsiabay-admission/src/scheduler/queries.rs
@@ -0,0 +1,176 @@
+//! What only reads the state of the scheduler.
+
+use std::collections::BTreeMap;
+
+use fuchsiabay_base::Timestamp;
+
+use super::Scheduler;
+use crate::{Class, Job, JobId, Limits, Load, Snapshot, WorkspaceSnapshot, workspace_queue::WorkspaceQueue};
+
+impl Scheduler {
+    /// Returns the limits in force.
+    pub fn limits(&self) -> &Limits {
+        &self.limits
+    }
+
+    /// Returns whether nothing waits and nothing is in flight.
+    pub fn is_idle(&self) -> bool {
+        self.waiting.is_empty() && self.running.is_empty()
+    }
+
+    /// Returns the jobs in flight.
+    pub fn running(&self) -> impl Iterator<Item = JobId> + '_ {
+        self.running.keys().copied()
+    }
+
+    /// Returns when [`Scheduler::tick`] must be called next, unless an event comes before.
+    pub fn next_deadline(&self) -> Option<Timestamp> {
+        let drop_at = self.deadlines.first().map(|(deadline, _)| *deadline);
+        [drop_at, self.pause_due()].into_iter().flatten().min()
+    }
+
+    /// Returns the predicted wait of `job`, in milliseconds.
+    ///
+    /// Only work that would be served before it counts: work of its class, up to the fair share of each other
+    /// workspace. Otherwise the queue of a large workspace would have the work of small ones refused.
+    pub fn predicted_wait_ms(&self, _now: Timestamp, job: &Job) -> u64 {
+        if self.can_start_at_once(job) {
+            return 0;
+        }
+        if job.solo {
+            return self.running.values().map(|job| self.remaining_ms(job)).max().unwrap_or(0);
+        }
+        let class = self.limits.class(job.estimated_tokens);
+        let slots = match class {
+            Class::Short => self.limits.slots - self.long_active().min(self.limits.long_slots()),
+            Class::Long => self.limits.long_slots(),
+        };
+        self.time_to_next_slot_ms() + self.rate.millis_for(self.tokens_ahead(job, class), slots)
+    }
+
+    /// Returns the load.
+    pub fn load(&self, now: Timestamp) -> Load {
+        let running: u64 =
+            self.running.values().map(|job| u64::from(job.estimate.saturating_sub(job.tokens))).sum();
+        let solo: u64 = self.solos.iter().map(|queued| u64::from(queued.job.estimated_tokens)).sum();
+        Load {
+            queued: self.waiting.len() as u32,
+            running: self.running.len() as u32,
+            slots: self.limits.slots,
+            outstanding_tokens: running
+                + solo
+                + self.queued_tokens(Class::Short)
+                + self.queued_tokens(Class::Long),
+            predicted_wait_ms: self.predicted_wait_ms(now, &probe()),
+            draining: self.draining,
+            down: self.down,
+        }
+    }
+
+    /// Returns the whole state.
+    pub fn snapshot(&self, now: Timestamp) -> Snapshot {
+        let least = self.workspaces.values().map(|workspace| workspace.virtual_time).min().unwrap_or(0);
+        let workspaces = self.workspaces.iter().map(|(id, workspace)| WorkspaceSnapshot {
+            workspace: id.clone(),
+            weight: workspace.weight,
+            queued: workspace.queued() as u32,
+            running: workspace.running,
+            virtual_lead: workspace.virtual_time - least,
+        });
+        Snapshot {
+            load: self.load(now),
+            limits: self.limits,
+            short_queued: self.short_arrivals.len() as u32,
+            long_queued: self.long_arrivals.len() as u32,
+            long_running: self.long_active(),
+            paused: self
+                .running
+                .iter()
+                .filter(|(_, job)| job.paused_at.is_some())
+                .map(|(id, _)| *id)
+                .collect(),
+            tokens_per_second_and_slot: (self.rate.tokens_per_ms().unwrap_or(0.0) * 1_000.0) as u64,
+            workspaces: workspaces.collect(),
+        }
+    }
+
+    /// Returns whether `job` would get a slot now.
+    pub(super) fn can_start_at_once(&self, job: &Job) -> bool {
+        if job.solo {
+            return self.running.is_empty() && self.solos.is_empty();
+        }
+        let class_waits = !self.arrivals(self.limits.class(job.estimated_tokens)).is_empty();
+        !class_waits && self.solos.is_empty() && !self.solo_runs() && self.active() < self.limits.slots
+    }
+
+    /// Returns the predicted time until a job in flight ends, in milliseconds.
+    pub(super) fn time_to_next_slot_ms(&self) -> u64 {
+        if self.active() < self.limits.slots && !self.solo_runs() {
+            return 0;
+        }
+        self.running.values().map(|job| self.remaining_ms(job)).min().unwrap_or(0)
+    }
+
+    /// Returns the jobs that hold a slot.
+    pub(super) fn active(&self) -> u32 {
+        self.running.values().filter(|job| job.paused_at.is_none()).count() as u32
+    }
+
+    /// Returns the long jobs that hold a slot.
+    pub(super) fn long_active(&self) -> u32 {
+        let long =
+            |job: &&super::Running| job.paused_at.is_none() && self.limits.class(job.estimate) == Class::Long;
+        self.running.values().filter(long).count() as u32
+    }
+
+    pub(super) fn solo_runs(&self) -> bool {
+        self.running.values().any(|job| job.solo)
+    }
+
+    pub(super) fn arrivals(&self, class: Class) -> &BTreeMap<u64, JobId> {
+        match class {
+            Class::Short => &self.short_arrivals,
+            Class::Long => &self.long_arrivals,
+        }
+    }
+
+    fn remaining_ms(&self, job: &super::Running) -> u64 {
+        self.rate.millis_for(u64::from(job.estimate.saturating_sub(job.tokens)), 1)
+    }
+
+    fn queued_tokens(&self, class: Class) -> u64 {
+        self.workspaces.values().map(|workspace| workspace.queued_tokens(class)).sum()
+    }
+
+    /// Returns the waiting tokens of the class that would be served before `job`.
+    fn tokens_ahead(&self, job: &Job, class: Class) -> u64 {
+        let own = self.workspaces.get(&job.workspace);
+        let own_queued = own.map_or(0, |workspace| workspace.queued_tokens(class));
+        let start = own.map_or(self.virtual_clock, |workspace| {
+            workspace.virtual_time.max(self.virtual_clock) + workspace.virtual_cost(own_queued)
+        });
+        let others = self.workspaces.iter().filter(|(id, _)| **id != job.workspace);
+        own_queued + others.map(|(_, other)| served_until(other, class, start)).sum::<u64>()
+    }
+}
+
+/// Returns the waiting tokens of a workspace that are served before its virtual time passes `until`.
+fn served_until(workspace: &WorkspaceQueue, class: Class, until: u64) -> u64 {
+    let fair = workspace.tokens_for(until.saturating_sub(workspace.virtual_time));
+    workspace.queued_tokens(class).min(fair)
+}
+
+/// A short job of an idle workspace, for the reported wait.
+fn probe() -> Job {
+    Job {
+        id: JobId(0),
+        workspace: fuchsiabay_base::WorkspaceId::default(),
+        weight: 1,
+        fingerprint: fuchsiabay_base::Fingerprint::of(&[]),
+        priority: 0,
+        estimated_tokens: 0,
+        deadline: Timestamp::from_millis(u64::MAX),
+        solo: false,
+        pausable: false,
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-admission/src/snapshot.rs
@@ -0,0 +1,61 @@
+//! Dumps of the scheduler's state.
+
+use fuchsiabay_base::WorkspaceId;
+use serde::{Deserialize, Serialize};
+
+use crate::{JobId, Limits};
+
+/// The load of the backend server.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Load {
+    /// Jobs that wait.
+    pub queued: u32,
+    /// Jobs that run or are paused.
+    pub running: u32,
+    /// Jobs that may run at the same time.
+    pub slots: u32,
+    /// Estimated tokens that remain, of running and waiting jobs.
+    pub outstanding_tokens: u64,
+    /// The predicted wait of a new short job of an idle workspace, in milliseconds.
+    pub predicted_wait_ms: u64,
+    /// Whether new work is refused for good.
+    pub draining: bool,
+    /// Whether the backend server is down.
+    pub down: bool,
+}
+
+/// The whole state, for operators.
+#[derive(Clone, Debug, Serialize)]
+pub struct Snapshot {
+    /// The load.
+    pub load: Load,
+    /// The limits in force.
+    pub limits: Limits,
+    /// Waiting short jobs.
+    pub short_queued: u32,
+    /// Waiting long jobs.
+    pub long_queued: u32,
+    /// Long jobs that run, without the paused ones.
+    pub long_running: u32,
+    /// Paused jobs.
+    pub paused: Vec<JobId>,
+    /// The measured speed of a slot in tokens per second.
+    pub tokens_per_second_and_slot: u64,
+    /// The workspaces with work.
+    pub workspaces: Vec<WorkspaceSnapshot>,
+}
+
+/// The work of one workspace.
+#[derive(Clone, Debug, Serialize)]
+pub struct WorkspaceSnapshot {
+    /// The workspace.
+    pub workspace: WorkspaceId,
+    /// Its share relative to others.
+    pub weight: u32,
+    /// Its waiting jobs.
+    pub queued: u32,
+    /// Its running jobs.
+    pub running: u32,
+    /// Its virtual time, less that of the workspace served next.
+    pub virtual_lead: u64,
+}
--- /dev/null
+++ b/crates/fuchsiabay-admission/src/workspace_queue.rs
@@ -0,0 +1,118 @@
+//! The waiting work and the account of one workspace.
+
+use std::{cmp::Reverse, collections::BTreeMap};
+
+use fuchsiabay_base::Timestamp;
+
+use crate::{Class, Job};
+
+/// Virtual time per token at weight one. It keeps the rounding of shares far below one token.
+const VIRTUAL_PER_TOKEN: u64 = 1 << 16;
+
+/// The place of a job in the queue of its workspace: priority first, then arrival.
+pub(crate) type Place = (Reverse<u8>, u64);
+
+/// A job that waits.
+#[derive(Clone, Debug)]
+pub(crate) struct Queued {
+    pub(crate) job: Job,
+    pub(crate) queued_at: Timestamp,
+}
+
+/// The waiting work and the account of one workspace.
+///
+/// `virtual_time` advances by the tokens that the workspace was charged, divided by its weight. The workspace
+/// with the least virtual time is served next.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct WorkspaceQueue {
+    pub(crate) weight: u32,
+    pub(crate) virtual_time: u64,
+    pub(crate) running: u32,
+    short: BTreeMap<Place, Queued>,
+    long: BTreeMap<Place, Queued>,
+    /// Kept as sums, because every admission asks for them.
+    short_tokens: u64,
+    long_tokens: u64,
+}
+
+impl WorkspaceQueue {
+    /// Returns the waiting jobs of a class.
+    pub(crate) fn class(&self, class: Class) -> &BTreeMap<Place, Queued> {
+        match class {
+            Class::Short => &self.short,
+            Class::Long => &self.long,
+        }
+    }
+
+    /// Adds a waiting job.
+    pub(crate) fn insert(&mut self, class: Class, place: Place, queued: Queued) {
+        *self.tokens_mut(class) += u64::from(queued.job.estimated_tokens);
+        self.class_mut(class).insert(place, queued);
+    }
+
+    /// Removes a waiting job.
+    pub(crate) fn remove(&mut self, class: Class, place: Place) -> Option<Queued> {
+        let queued = self.class_mut(class).remove(&place)?;
+        *self.tokens_mut(class) -= u64::from(queued.job.estimated_tokens);
+        Some(queued)
+    }
+
+    /// Removes every waiting job.
+    pub(crate) fn take_all(&mut self) -> impl Iterator<Item = (Place, Queued)> + use<> {
+        self.short_tokens = 0;
+        self.long_tokens = 0;
+        std::mem::take(&mut self.short).into_iter().chain(std::mem::take(&mut self.long))
+    }
+
+    /// Returns how many jobs wait.
+    pub(crate) fn queued(&self) -> usize {
+        self.short.len() + self.long.len()
+    }
+
+    /// Returns whether the workspace neither waits nor runs.
+    pub(crate) fn is_idle(&self) -> bool {
+        self.running == 0 && self.queued() == 0
+    }
+
+    /// Returns the estimated tokens of the waiting jobs of a class.
+    pub(crate) fn queued_tokens(&self, class: Class) -> u64 {
+        match class {
+            Class::Short => self.short_tokens,
+            Class::Long => self.long_tokens,
+        }
+    }
+
+    /// Returns the virtual time that `tokens` cost this workspace.
+    pub(crate) fn virtual_cost(&self, tokens: u64) -> u64 {
+        tokens * VIRTUAL_PER_TOKEN / u64::from(self.weight.max(1))
+    }
+
+    /// Returns the tokens that `virtual_time` buys this workspace.
+    pub(crate) fn tokens_for(&self, virtual_time: u64) -> u64 {
+        virtual_time / VIRTUAL_PER_TOKEN * u64::from(self.weight.max(1))
+    }
+
+    /// Charges `tokens`.
+    pub(crate) fn charge(&mut self, tokens: u64) {
+        self.virtual_time += self.virtual_cost(tokens);
+    }
+
+    /// Takes back the charge of tokens that were not produced.
+    pub(crate) fn refund(&mut self, tokens: u64) {
+        self.virtual_time = self.virtual_time.saturating_sub(self.virtual_cost(tokens));
+    }
+
+    fn class_mut(&mut self, class: Class) -> &mut BTreeMap<Place, Queued> {
+        match class {
+            Class::Short => &mut self.short,
+            Class::Long => &mut self.long,
+        }
+    }
+
+    fn tokens_mut(&mut self, class: Class) -> &mut u64 {
+        match class {
+            Class::Short => &mut self.short_tokens,
+            Class::Long => &mut self.long_tokens,
+        }
+    }
+}
