--- a/crates/fuchsiabay-config/src/freshness.rs
+++ b/crates/fuchsiabay-config/src/freshness.rs
@@ -95,9 +95,11 @@
         self.proved_at.map(|at| at.plus_millis(FRESH_MS))
     }
 
-    /// Returns the age of the last proof, for the answer to a neighbour.
+    /// Returns the age of the last proof, for the answer to a neighbour. An outage for everybody is a proof too, dated by
+    /// the oldest failed read behind it, so that neighbours that cannot ask every reader go on serving.
     pub fn age_ms(&self, now: Timestamp) -> Option<u64> {
-        self.proved_at.map(|at| now.millis_since(at))
+        let outage_since = if self.outage(now) { self.oldest_failed_read() } else { None };
+        self.proved_at.max(outage_since).map(|at| now.millis_since(at))
     }
 
     /// Returns whether this process's own last read of the log failed, for the answer to a neighbour.
@@ -105,6 +107,15 @@
         self.log_failed_at.is_some_and(|at| now < at.plus_millis(LOG_FAILURE_MS))
     }
 
+    fn oldest_failed_read(&self) -> Option<Timestamp> {
+        let failed_at = |(id, report): (&InstanceId, &Report)| match report {
+            _ if *id == self.own => self.log_failed_at,
+            Report::LogDown { until } => Some(until.minus_millis(FRESH_MS)),
+            Report::Silent | Report::LogUp => None,
+        };
+        self.readers.iter().filter_map(failed_at).min()
+    }
+
     /// Returns whether the log is down for everybody: every reader of every zone says so and none is silent.
     pub fn outage(&self, now: Timestamp) -> bool {
         let down = |(id, report): (&InstanceId, &Report)| match report {
--- a/crates/fuchsiabay-experts/src/ledger.rs
+++ b/crates/fuchsiabay-experts/src/ledger.rs
@@ -2,10 +2,10 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use fuchsiabay_base::{WriterId, invariant};
+use fuchsiabay_base::{WriterId, invariant, mechanism};
 use serde::{Deserialize, Serialize};
 
-use crate::{MapRecord, MapVersion, Rank, SwitchId, ablation};
+use crate::{MapRecord, MapVersion, Rank, SwitchId};
 
 /// Segments that are kept. Ranks in lock-step are never further apart than one switch, so older ones are finished.
 const KEPT_SEGMENTS: usize = 8;
@@ -198,7 +198,7 @@
         };
         pending.votes.insert(writer.clone());
         let unanimous = self.ranks.values().all(|member| pending.votes.contains(member));
-        if unanimous || !ablation::unanimity_enabled() {
+        if unanimous || !mechanism("unanimous-votes") {
             self.commit();
         }
         true
--- a/crates/fuchsiabay-experts/src/lib.rs
+++ b/crates/fuchsiabay-experts/src/lib.rs
@@ -5,7 +5,6 @@
 //! Invariants kept here: the map of a step is a pure function of the log prefix and never changes once it is known;
 //! a gate never permits a step whose map could still change.
 
-mod ablation;
 mod ledger;
 mod map_record;
 mod placement;
@@ -13,8 +12,6 @@
 mod popularity;
 mod step_gate;
 
-#[cfg(feature = "ablation")]
-pub use ablation::{disable_hold, disable_unanimity};
 pub use ledger::{MapLedger, PendingSwitch, Segment};
 pub use map_record::{MapRecord, MapVersion, Rank, SwitchId};
 pub use placement::{Move, Placement};
--- a/crates/fuchsiabay-experts/src/step_gate.rs
+++ b/crates/fuchsiabay-experts/src/step_gate.rs
@@ -1,8 +1,8 @@
 //! The step gate of the agent beside one backend server of a group.
 
-use fuchsiabay_base::{WriterId, invariant};
+use fuchsiabay_base::{WriterId, invariant, mechanism};
 
-use crate::{MapLedger, MapRecord, MapVersion, SwitchId, ablation};
+use crate::{MapLedger, MapRecord, MapVersion, SwitchId};
 
 /// Allows the ranks of one backend server to run the steps up to `through` under `map`.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -56,7 +56,7 @@
             through = through.min(end - 1);
         }
         if let Some(pending) = ledger.pending()
-            && ablation::hold_enabled()
+            && mechanism("hold-step")
         {
             if next_step >= pending.hold_step {
                 return None;
