Add the order gate of one engine

Some engines ignore fencing tokens, so the agent must be the fence. The gate refuses old and repeated tokens, keeps one order outstanding, checks the deadline right before a send, reads back after an unknown outcome, and repeats orders until the engine has the value of the highest token.

--- /dev/null
+++ b/crates/fuchsiabay-fencing/src/order_gate/queries.rs
@@ -0,0 +1,53 @@
+//! What only reads the state of the gate.
+
+use fuchsiabay_base::Timestamp;
+
+use super::OrderGate;
+use crate::{EngineState, GateSnapshot, Order, TargetSnapshot};
+
+impl OrderGate {
+    /// Returns the highest token so far.
+    pub fn high_water(&self) -> Option<u64> {
+        self.high_water
+    }
+
+    /// Returns whether the engine is known to have the value of each order in force that did not expire.
+    pub fn is_settled(&self, now: Timestamp) -> bool {
+        match &self.engine {
+            Some(engine) => self.outstanding.is_none() && self.unmet(engine, now).is_none(),
+            None => self.targets.values().all(|order| order.deadline <= now),
+        }
+    }
+
+    /// Returns when [`OrderGate::next_command`] may have a command, unless an event comes before.
+    pub fn next_deadline(&self, now: Timestamp) -> Option<Timestamp> {
+        (self.outstanding.is_none() && self.refused_fence.is_none() && !self.is_settled(now))
+            .then_some(self.retry_at)
+    }
+
+    /// Returns the whole state.
+    pub fn snapshot(&self, now: Timestamp) -> GateSnapshot {
+        let targets = self.targets.values().map(|order| TargetSnapshot {
+            order: order.clone(),
+            reached: self.engine.as_ref().is_some_and(|engine| reached(engine, order)),
+            expired: order.deadline <= now,
+        });
+        GateSnapshot {
+            high_water: self.high_water,
+            targets: targets.collect(),
+            engine: self.engine.clone(),
+            outstanding: self.outstanding.is_some(),
+            fenced_off: self.refused_fence.is_some(),
+        }
+    }
+
+    /// Returns the oldest live order whose value the engine does not have.
+    pub(super) fn unmet(&self, engine: &EngineState, now: Timestamp) -> Option<&Order> {
+        let unmet = self.targets.values().filter(|order| now < order.deadline && !reached(engine, order));
+        unmet.min_by_key(|order| order.fence)
+    }
+}
+
+fn reached(engine: &EngineState, order: &Order) -> bool {
+    engine.values.get(&order.kind) == Some(&order.target)
+}
