Add the choice of a backend server and the course of one request

The entry needs its decisions as code without sockets or clocks, so that randomised runs and replay can use them.

--- /dev/null
+++ b/crates/fuchsiabay-routing/src/load.rs
@@ -0,0 +1,74 @@
+//! What an entry instance knows about the load of one backend server.
+
+use fuchsiabay_base::Timestamp;
+use fuchsiabay_wire::LoadReport;
+
+/// The last load report of a backend server and what this instance sent to it since.
+///
+/// Reports lag. Without the own sends, every request between two reports would go to the same server.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Load {
+    /// The last report.
+    pub report: LoadReport,
+    /// When the last report arrived.
+    pub reported_at: Timestamp,
+    /// Attempts sent since the last report.
+    pub sent_attempts: u32,
+    /// Estimated tokens of the attempts sent since the last report.
+    pub sent_tokens: u64,
+    /// No attempt is sent before this point, because the server refused or failed.
+    pub skip_until: Timestamp,
+    /// The smoothed time between two tokens in microseconds, or zero while none was measured.
+    pub pace_us: u64,
+    /// Whether the pace is far above that of the other servers of the service.
+    pub straggler: bool,
+    /// Whether a connection to the agent is open.
+    pub connected: bool,
+}
+
+/// The weight of a new measurement of the pace, as a divisor.
+const PACE_SMOOTHING: u64 = 8;
+
+impl Load {
+    /// Returns whether an attempt may be sent at `now`.
+    pub(crate) fn accepts(&self, now: Timestamp) -> bool {
+        self.connected && !self.report.draining && self.skip_until <= now
+    }
+
+    /// Returns the predicted wait of a new attempt in milliseconds: the reported one, and the time to work off the
+    /// own sends since the report that find no free slot.
+    pub(crate) fn wait_ms(&self) -> u64 {
+        let slots = u64::from(self.report.slots.max(1));
+        let taken = u64::from(self.report.running) + u64::from(self.sent_attempts);
+        if taken < slots {
+            return self.report.predicted_wait_ms;
+        }
+        self.report.predicted_wait_ms + self.sent_tokens * self.pace_us / slots / 1000
+    }
+
+    /// Returns the attempts that wait or run, own sends included.
+    pub(crate) fn attempts(&self) -> u64 {
+        u64::from(self.report.queued) + u64::from(self.report.running) + u64::from(self.sent_attempts)
+    }
+
+    /// Returns the key by which the better of two servers is the smaller one.
+    pub(crate) fn rank(&self) -> (bool, u64, u64, u64) {
+        let slots = u64::from(self.report.slots.max(1));
+        let tokens = self.report.outstanding_tokens + self.sent_tokens;
+        (self.straggler, self.wait_ms(), tokens / slots, self.attempts() * 1000 / slots)
+    }
+
+    pub(crate) fn apply(&mut self, report: LoadReport, now: Timestamp) {
+        self.report = report;
+        self.reported_at = now;
+        self.sent_attempts = 0;
+        self.sent_tokens = 0;
+    }
+
+    pub(crate) fn observe_pace(&mut self, pace_us: u64) {
+        self.pace_us = match self.pace_us {
+            0 => pace_us,
+            old => (old * (PACE_SMOOTHING - 1) + pace_us) / PACE_SMOOTHING,
+        };
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-routing/src/request_machine.rs
@@ -0,0 +1,537 @@
+//! The course of one request at the entry.
+
+use std::collections::VecDeque;
+
+use fuchsiabay_base::{AttemptId, Timestamp, Verdict, WriterId, invariant};
+use fuchsiabay_wire::{AttemptError, End, PlainResponse, RefusalReason, Tokens};
+
+use crate::{Failure, FailureKind, NoServer, Standing, Transcript};
+
+/// Attempts of one request. A request that fails this often fails everywhere.
+const MAX_ATTEMPTS: u32 = 8;
+
+/// What a request asks for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RequestKind {
+    /// Tokens of a model.
+    Generate,
+    /// The response of a plain service.
+    Plain,
+}
+
+/// What the machine needs from the instance that runs it.
+pub trait Dispatch {
+    /// A backend server as a target.
+    type Target: Clone;
+
+    /// Returns the life of the target.
+    fn id(target: &Self::Target) -> &WriterId;
+
+    /// Picks a server that is not in `tried`.
+    ///
+    /// # Errors
+    ///
+    /// Fails when there is none.
+    fn place(&mut self, tried: &[WriterId], now: Timestamp) -> Result<Self::Target, NoServer>;
+
+    /// Returns an attempt id that this instance has never used.
+    fn next_attempt(&mut self) -> AttemptId;
+
+    /// Takes one retry from the budget.
+    fn take_retry(&mut self, now: Timestamp) -> bool;
+
+    /// Returns when the next attempt may start after a failure.
+    fn backoff(&mut self, now: Timestamp) -> Timestamp;
+
+    /// Reports that `server` crashed while it ran the request, and returns how the request is to be treated now.
+    fn report_crash(&mut self, server: &WriterId, now: Timestamp) -> Standing;
+}
+
+/// What happened to the request.
+#[derive(Clone, Copy, Debug)]
+pub enum Event<'a> {
+    /// The request was accepted from the caller.
+    Start,
+    /// The agent refused the attempt.
+    Refused {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Why.
+        reason: RefusalReason,
+        /// When another try may succeed.
+        retry_at: Timestamp,
+    },
+    /// The attempt was provably never sent.
+    NotSent {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The agent did not answer in time, and its connection is still open.
+    Unanswered {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// The connection to the agent was lost after the attempt may have been sent.
+    ConnectionLost {
+        /// The attempt.
+        attempt: AttemptId,
+    },
+    /// Tokens arrived.
+    Tokens(&'a Tokens),
+    /// The attempt ended.
+    End(&'a End),
+    /// The wait of [`Command::Wait`] is over.
+    Woken,
+    /// The agent answered the cancellation, or the wait for its answer is over.
+    Cancelled {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Whether the attempt may have run.
+        verdict: Verdict,
+    },
+    /// The caller's deadline passed.
+    Deadline,
+    /// The caller closed its connection.
+    CallerGone,
+}
+
+/// What is to be done.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Command<T> {
+    /// Submit the request as a new attempt.
+    Submit {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where to.
+        target: T,
+        /// The position to resume at. The text before it is [`RequestMachine::transcript`].
+        resume_from: u32,
+        /// Whether the attempt must run alone.
+        solo: bool,
+    },
+    /// Wait, and then report [`Event::Woken`].
+    Wait {
+        /// Until when.
+        until: Timestamp,
+    },
+    /// Order the agent to cancel the attempt.
+    Cancel {
+        /// The attempt.
+        attempt: AttemptId,
+        /// Where it runs.
+        target: T,
+        /// Whether the reply is wanted as [`Event::Cancelled`].
+        awaited: bool,
+    },
+    /// Write the transcript from this byte offset on to the caller.
+    Write {
+        /// The byte offset.
+        from: usize,
+    },
+    /// The request ran alone to its end, so it caused no crash.
+    ClearSuspicion,
+    /// The answer is complete.
+    Finish,
+    /// The request failed.
+    Fail(Failure),
+}
+
+#[derive(Clone, Debug)]
+enum State<T> {
+    New,
+    Attempting(Attempt<T>),
+    Waiting,
+    Cancelling(Attempt<T>),
+    Done,
+}
+
+#[derive(Clone, Debug)]
+struct Attempt<T> {
+    id: AttemptId,
+    target: T,
+    solo: bool,
+}
+
+/// The state machine of one request: events go in, commands come out.
+///
+/// Frames that name another attempt than the current one are dropped, so a late or repeated frame of an abandoned
+/// attempt never reaches the caller.
+#[derive(Clone, Debug)]
+pub struct RequestMachine<T> {
+    kind: RequestKind,
+    idempotent: bool,
+    suspect: bool,
+    state: State<T>,
+    transcript: Transcript,
+    response: Option<PlainResponse>,
+    tried: Vec<WriterId>,
+    attempts: u32,
+    verdict: Verdict,
+    dropped_frames: u64,
+    commands: VecDeque<Command<T>>,
+}
+
+impl<T: Clone> RequestMachine<T> {
+    /// Builds the machine of a request. A `suspect` runs alone.
+    pub fn new(kind: RequestKind, idempotent: bool, suspect: bool) -> Self {
+        Self {
+            kind,
+            idempotent,
+            suspect,
+            state: State::New,
+            transcript: Transcript::default(),
+            response: None,
+            tried: Vec::new(),
+            attempts: 0,
+            verdict: Verdict::NotRun,
+            dropped_frames: 0,
+            commands: VecDeque::new(),
+        }
+    }
+
+    /// Returns what has arrived of the answer.
+    pub fn transcript(&self) -> &Transcript {
+        &self.transcript
+    }
+
+    /// Takes the response of a plain service after [`Command::Finish`].
+    pub fn take_response(&mut self) -> Option<PlainResponse> {
+        self.response.take()
+    }
+
+    /// Returns how many attempts were submitted.
+    pub fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
+    /// Returns how many frames of abandoned attempts were dropped.
+    pub fn dropped_frames(&self) -> u64 {
+        self.dropped_frames
+    }
+
+    /// Returns the attempt in flight and its target.
+    pub fn in_flight(&self) -> Option<(AttemptId, &T)> {
+        match &self.state {
+            State::Attempting(attempt) | State::Cancelling(attempt) => Some((attempt.id, &attempt.target)),
+            State::New | State::Waiting | State::Done => None,
+        }
+    }
+
+    /// Returns whether the request is over.
+    pub fn is_done(&self) -> bool {
+        matches!(self.state, State::Done)
+    }
+
+    /// Returns the next command.
+    pub fn next_command(&mut self) -> Option<Command<T>> {
+        self.commands.pop_front()
+    }
+
+    /// Takes note of `event` and queues the commands that follow from it.
+    pub fn handle<D: Dispatch<Target = T>>(&mut self, event: Event<'_>, cx: &mut D, now: Timestamp) {
+        match event {
+            Event::Start if matches!(self.state, State::New) => self.submit(None, cx, now),
+            Event::Woken if matches!(self.state, State::Waiting) => self.submit(None, cx, now),
+            Event::Start | Event::Woken => {}
+            Event::Refused { attempt, reason, retry_at } => {
+                self.on_attempt_failed(
+                    attempt,
+                    FailureKind::Refused(reason),
+                    Verdict::NotRun,
+                    Some(retry_at),
+                    cx,
+                    now,
+                );
+            }
+            Event::NotSent { attempt } => {
+                self.on_attempt_failed(attempt, FailureKind::ConnectionLost, Verdict::NotRun, None, cx, now);
+            }
+            Event::Unanswered { attempt } => {
+                self.cancel_current(attempt);
+                self.on_attempt_failed(
+                    attempt,
+                    FailureKind::ConnectionLost,
+                    Verdict::MayHaveRun,
+                    None,
+                    cx,
+                    now,
+                );
+            }
+            Event::ConnectionLost { attempt } => {
+                self.on_attempt_failed(
+                    attempt,
+                    FailureKind::ConnectionLost,
+                    Verdict::MayHaveRun,
+                    None,
+                    cx,
+                    now,
+                );
+            }
+            Event::Tokens(tokens) => self.on_tokens(tokens, cx, now),
+            Event::End(end) => self.on_end(end, cx, now),
+            Event::Cancelled { attempt, verdict } => self.on_cancelled(attempt, verdict),
+            Event::Deadline => self.on_deadline(),
+            Event::CallerGone => self.on_caller_gone(),
+        }
+    }
+
+    fn on_tokens<D: Dispatch<Target = T>>(&mut self, tokens: &Tokens, cx: &mut D, now: Timestamp) {
+        if !self.is_attempting(tokens.attempt) {
+            self.dropped_frames += 1;
+            return;
+        }
+        let appended = match self.kind {
+            RequestKind::Generate => self.transcript.append(tokens.first, tokens.count, &tokens.text).ok(),
+            RequestKind::Plain => None,
+        };
+        match appended {
+            Some(from) if from == self.transcript.text().len() => {}
+            Some(from) => self.commands.push_back(Command::Write { from }),
+            None => {
+                self.cancel_current(tokens.attempt);
+                self.on_attempt_failed(
+                    tokens.attempt,
+                    FailureKind::Protocol,
+                    Verdict::MayHaveRun,
+                    None,
+                    cx,
+                    now,
+                );
+            }
+        }
+    }
+
+    fn on_end<D: Dispatch<Target = T>>(&mut self, end: &End, cx: &mut D, now: Timestamp) {
+        if matches!(&self.state, State::Cancelling(attempt) if attempt.id == end.attempt) {
+            return self.on_cancelled(end.attempt, end.verdict);
+        }
+        if !self.is_attempting(end.attempt) {
+            self.dropped_frames += 1;
+            return;
+        }
+        if let Some(error) = end.error {
+            return self.on_attempt_error(end, error, cx, now);
+        }
+        if end.verdict != Verdict::Ran {
+            return self.on_attempt_failed(
+                end.attempt,
+                FailureKind::Protocol,
+                end.verdict.max(self.evidence()),
+                None,
+                cx,
+                now,
+            );
+        }
+        match self.kind {
+            RequestKind::Plain => self.finish_plain(end),
+            RequestKind::Generate if end.total_tokens == self.transcript.position() => self.finish(),
+            // Fewer tokens than the caller has cannot be repaired by a resumption.
+            RequestKind::Generate if end.total_tokens < self.transcript.position() => {
+                self.fail(FailureKind::Protocol, Verdict::MayHaveRun, None);
+            }
+            RequestKind::Generate => {
+                self.on_attempt_failed(
+                    end.attempt,
+                    FailureKind::Protocol,
+                    Verdict::MayHaveRun,
+                    None,
+                    cx,
+                    now,
+                );
+            }
+        }
+    }
+
+    fn on_attempt_error<D: Dispatch<Target = T>>(
+        &mut self,
+        end: &End,
+        error: AttemptError,
+        cx: &mut D,
+        now: Timestamp,
+    ) {
+        let kind = FailureKind::Attempt(error);
+        if error == AttemptError::BackendLost
+            && end.verdict != Verdict::NotRun
+            && let State::Attempting(attempt) = &self.state
+        {
+            self.suspect = true;
+            let standing = cx.report_crash(D::id(&attempt.target), now);
+            if let Standing::Refused { until: _ } = standing {
+                return self.fail(FailureKind::Quarantined, end.verdict, None);
+            }
+        }
+        self.on_attempt_failed(end.attempt, kind, end.verdict, None, cx, now);
+    }
+
+    fn on_attempt_failed<D: Dispatch<Target = T>>(
+        &mut self,
+        attempt: AttemptId,
+        kind: FailureKind,
+        verdict: Verdict,
+        retry_at: Option<Timestamp>,
+        cx: &mut D,
+        now: Timestamp,
+    ) {
+        if !self.is_attempting(attempt) {
+            return;
+        }
+        let harmless = match verdict {
+            Verdict::NotRun => true,
+            Verdict::MayHaveRun => self.idempotent,
+            Verdict::Ran => false,
+        };
+        let retry = harmless
+            && !kind.is_final()
+            && self.attempts < MAX_ATTEMPTS
+            && (kind.is_hand_back() || cx.take_retry(now));
+        if !retry {
+            return self.fail(kind, verdict, retry_at);
+        }
+        self.verdict = self.verdict.max(verdict);
+        // Another server is tried at once when this one did not start the attempt. After a real failure the wait
+        // keeps a common cause from being hit by all retries at the same moment.
+        if verdict == Verdict::NotRun {
+            return self.submit(Some((kind, retry_at)), cx, now);
+        }
+        self.wait(cx, now);
+    }
+
+    fn submit<D: Dispatch<Target = T>>(
+        &mut self,
+        after: Option<(FailureKind, Option<Timestamp>)>,
+        cx: &mut D,
+        now: Timestamp,
+    ) {
+        let target = match cx.place(&self.tried, now) {
+            Ok(target) => target,
+            Err(none) => return self.on_no_server(none, after, cx, now),
+        };
+        let id = cx.next_attempt();
+        invariant!(
+            "retry-is-harmless",
+            self.idempotent || self.verdict == Verdict::NotRun,
+            "attempt {id} of a call that is not idempotent follows one that may have run"
+        );
+        self.attempts += 1;
+        self.tried.push(D::id(&target).clone());
+        self.transcript.mark_resumed();
+        self.commands.push_back(Command::Submit {
+            attempt: id,
+            target: target.clone(),
+            resume_from: self.transcript.position(),
+            solo: self.suspect,
+        });
+        self.state = State::Attempting(Attempt { id, target, solo: self.suspect });
+    }
+
+    fn on_no_server<D: Dispatch<Target = T>>(
+        &mut self,
+        none: NoServer,
+        after: Option<(FailureKind, Option<Timestamp>)>,
+        cx: &mut D,
+        now: Timestamp,
+    ) {
+        // A caller that already has a part of the answer waits for a server to return: a truncated answer is worth
+        // less to it than a late one.
+        if self.transcript.position() > 0 && self.attempts < MAX_ATTEMPTS {
+            self.attempts += 1;
+            self.tried.clear();
+            return self.wait(cx, now);
+        }
+        let (kind, retry_at) = after.unwrap_or((FailureKind::NoServer, none.retry_at));
+        self.fail(kind, Verdict::NotRun, retry_at);
+    }
+
+    fn wait<D: Dispatch<Target = T>>(&mut self, cx: &mut D, now: Timestamp) {
+        self.state = State::Waiting;
+        self.commands.push_back(Command::Wait { until: cx.backoff(now) });
+    }
+
+    fn on_cancelled(&mut self, attempt: AttemptId, verdict: Verdict) {
+        if matches!(&self.state, State::Cancelling(current) if current.id == attempt) {
+            self.fail(FailureKind::DeadlinePassed, verdict, None);
+        }
+    }
+
+    fn on_deadline(&mut self) {
+        let known = self.verdict.max(self.evidence()) != Verdict::NotRun;
+        match std::mem::replace(&mut self.state, State::Done) {
+            State::Attempting(attempt) if known => {
+                self.push_cancel(&attempt, false);
+                self.fail(FailureKind::DeadlinePassed, Verdict::MayHaveRun, None);
+            }
+            // Only the agent can tell whether the attempt has started.
+            State::Attempting(attempt) => {
+                self.push_cancel(&attempt, true);
+                self.state = State::Cancelling(attempt);
+            }
+            State::New | State::Waiting => self.fail(FailureKind::DeadlinePassed, Verdict::NotRun, None),
+            state @ (State::Cancelling(_) | State::Done) => self.state = state,
+        }
+    }
+
+    fn on_caller_gone(&mut self) {
+        match std::mem::replace(&mut self.state, State::Done) {
+            State::Attempting(attempt) => {
+                self.push_cancel(&attempt, false);
+                self.fail(FailureKind::CallerGone, Verdict::MayHaveRun, None);
+            }
+            State::Cancelling(_) => self.fail(FailureKind::CallerGone, Verdict::MayHaveRun, None),
+            State::New | State::Waiting => self.fail(FailureKind::CallerGone, Verdict::NotRun, None),
+            State::Done => {}
+        }
+    }
+
+    fn finish_plain(&mut self, end: &End) {
+        if end.response.is_none() {
+            return self.fail(FailureKind::Protocol, Verdict::Ran, None);
+        }
+        self.response.clone_from(&end.response);
+        self.finish();
+    }
+
+    fn finish(&mut self) {
+        if matches!(&self.state, State::Attempting(attempt) if attempt.solo) {
+            self.commands.push_back(Command::ClearSuspicion);
+        }
+        self.state = State::Done;
+        self.commands.push_back(Command::Finish);
+    }
+
+    fn fail(&mut self, kind: FailureKind, verdict: Verdict, retry_at: Option<Timestamp>) {
+        self.state = State::Done;
+        self.verdict = self.verdict.max(verdict).max(self.evidence());
+        self.commands.push_back(Command::Fail(Failure {
+            verdict: self.verdict,
+            kind,
+            retry_at,
+            truncated: self.transcript.position() > 0,
+        }));
+    }
+
+    fn cancel_current(&mut self, attempt: AttemptId) {
+        if let State::Attempting(current) = &self.state
+            && current.id == attempt
+        {
+            let current = current.clone();
+            self.push_cancel(&current, false);
+        }
+    }
+
+    fn push_cancel(&mut self, attempt: &Attempt<T>, awaited: bool) {
+        self.commands.push_back(Command::Cancel {
+            attempt: attempt.id,
+            target: attempt.target.clone(),
+            awaited,
+        });
+    }
+
+    /// Tokens prove that the request started, whatever a later verdict says.
+    fn evidence(&self) -> Verdict {
+        if self.transcript.position() > 0 { Verdict::MayHaveRun } else { Verdict::NotRun }
+    }
+
+    fn is_attempting(&self, attempt: AttemptId) -> bool {
+        matches!(&self.state, State::Attempting(current) if current.id == attempt)
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-routing/src/server.rs
@@ -0,0 +1,78 @@
+//! One backend server as a target of attempts.
+
+use fuchsiabay_base::{Timestamp, WriterId, ZoneName};
+use fuchsiabay_wire::LoadReport;
+use parking_lot::Mutex;
+
+use crate::Load;
+
+/// One life of a backend server's agent. `L` is what the owner needs to reach it.
+///
+/// A rejoin under the same instance id is another `Server`, so it inherits neither load nor penalties.
+#[derive(Debug)]
+pub struct Server<L> {
+    id: WriterId,
+    zone: ZoneName,
+    link: L,
+    load: Mutex<Load>,
+}
+
+impl<L> Server<L> {
+    pub(crate) fn new(id: WriterId, zone: ZoneName, link: L) -> Self {
+        Self { id, zone, link, load: Mutex::default() }
+    }
+
+    /// Returns the instance and generation.
+    pub fn id(&self) -> &WriterId {
+        &self.id
+    }
+
+    /// Returns the availability zone.
+    pub fn zone(&self) -> &ZoneName {
+        &self.zone
+    }
+
+    /// Returns what the owner needs to reach the server.
+    pub fn link(&self) -> &L {
+        &self.link
+    }
+
+    /// Returns a copy of the known load.
+    pub fn load(&self) -> Load {
+        *self.load.lock()
+    }
+
+    /// Applies a load report. A report of another generation is ignored.
+    pub fn apply_report(&self, report: LoadReport, now: Timestamp) {
+        if report.generation == self.id.generation {
+            self.load.lock().apply(report, now);
+        }
+    }
+
+    /// Counts an attempt that was just sent.
+    pub fn count_send(&self, tokens: u32) {
+        let mut load = self.load.lock();
+        load.sent_attempts += 1;
+        load.sent_tokens += u64::from(tokens);
+    }
+
+    /// Skips the server until `deadline`, because it refused or failed.
+    pub fn skip_until(&self, deadline: Timestamp) {
+        let mut load = self.load.lock();
+        load.skip_until = load.skip_until.max(deadline);
+    }
+
+    /// Records whether a connection to the agent is open.
+    pub fn set_connected(&self, connected: bool) {
+        self.load.lock().connected = connected;
+    }
+
+    /// Records a measured time between two tokens.
+    pub fn observe_pace(&self, pace_us: u64) {
+        self.load.lock().observe_pace(pace_us);
+    }
+
+    pub(crate) fn set_straggler(&self, straggler: bool) {
+        self.load.lock().straggler = straggler;
+    }
+}
