--- a/crates/fuchsiabay-admission/src/command.rs
+++ b/crates/fuchsiabay-admission/src/command.rs
@@ -20,7 +20,8 @@
 }
 
 /// Why a queued job was dropped.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum DropReason {
     /// Its deadline passed.
--- a/crates/fuchsiabay-admission/src/job.rs
+++ b/crates/fuchsiabay-admission/src/job.rs
@@ -8,7 +8,8 @@
 /// Identifies a job for the life of one agent.
 ///
 /// Attempt ids are unique only for the connection that they arrived on, so the agent numbers its jobs itself.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct JobId(pub u64);
 
@@ -19,7 +20,8 @@
 }
 
 /// Whether a job is expected to hold its slot for long.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Class {
     /// At most `long_work_tokens` are expected.
--- a/crates/fuchsiabay-admission/src/limits.rs
+++ b/crates/fuchsiabay-admission/src/limits.rs
@@ -5,7 +5,8 @@
 use crate::Class;
 
 /// The limits that the scheduler works under.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Limits {
     /// Jobs that may run at the same time.
     pub slots: u32,
--- a/crates/fuchsiabay-admission/src/refusal.rs
+++ b/crates/fuchsiabay-admission/src/refusal.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Why a job was not admitted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize, thiserror::Error)]
 #[serde(rename_all = "kebab-case")]
 pub enum RefusalCause {
     /// The queue is full.
@@ -24,7 +25,8 @@
 }
 
 /// The refusal of a job, which was not queued and never starts.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("{cause}")]
 pub struct Refusal {
     /// Why.
--- a/crates/fuchsiabay-admission/src/snapshot.rs
+++ b/crates/fuchsiabay-admission/src/snapshot.rs
@@ -6,7 +6,8 @@
 use crate::{JobId, Limits};
 
 /// The load of the backend server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Load {
     /// Jobs that wait.
     pub queued: u32,
@@ -25,7 +26,8 @@
 }
 
 /// The whole state, for operators.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct Snapshot {
     /// The load.
     pub load: Load,
@@ -46,7 +48,8 @@
 }
 
 /// The work of one workspace.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct WorkspaceSnapshot {
     /// The workspace.
     pub workspace: WorkspaceId,
--- a/crates/fuchsiabay-base/src/fingerprint.rs
+++ b/crates/fuchsiabay-base/src/fingerprint.rs
@@ -8,7 +8,8 @@
 /// A 128-bit content hash of a request: its workspace, route and body.
 ///
 /// It recognises a request that is sent again, whatever connection or entry instance it arrives through.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(SerializeDisplay, DeserializeFromStr)]
 pub struct Fingerprint(u128);
 
 impl Fingerprint {
--- a/crates/fuchsiabay-base/src/idempotency_key.rs
+++ b/crates/fuchsiabay-base/src/idempotency_key.rs
@@ -11,11 +11,13 @@
 ///
 /// Version 7 is required because it carries its issue time. A key that is older than the retention of the log
 /// must be refused, since the record of an earlier run may be gone.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, SerializeDisplay, DeserializeFromStr)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(SerializeDisplay, DeserializeFromStr)]
 pub struct IdempotencyKey(Uuid);
 
 /// The error for a text that is not a UUID version 7.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("the idempotency key must be a UUID version 7 (RFC 9562)")]
 pub struct InvalidKey;
 
--- a/crates/fuchsiabay-base/src/ids.rs
+++ b/crates/fuchsiabay-base/src/ids.rs
@@ -89,7 +89,8 @@
 }
 
 /// Identifies one life of an instance as a writer of log records.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct WriterId {
     /// The instance.
     pub instance: InstanceId,
--- a/crates/fuchsiabay-base/src/timestamp.rs
+++ b/crates/fuchsiabay-base/src/timestamp.rs
@@ -8,7 +8,8 @@
 ///
 /// Daemons use the Unix epoch for what leaves the process and a monotonic epoch for their own deadlines;
 /// randomised runs use virtual time. A stored `Timestamp` in the future is a deadline.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Timestamp(u64);
 
--- a/crates/fuchsiabay-base/src/verdict.rs
+++ b/crates/fuchsiabay-base/src/verdict.rs
@@ -8,7 +8,8 @@
 ///
 /// The order runs from the weakest to the strongest statement about execution, so that combining the verdicts
 /// of several attempts is `max`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Verdict {
     /// The request did not run and never will. Only the process that could have started it may say so.
--- a/crates/fuchsiabay-claims/src/answer.rs
+++ b/crates/fuchsiabay-claims/src/answer.rs
@@ -7,7 +7,8 @@
 use crate::Response;
 
 /// Why a call has no answer of the service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum ClaimError {
     /// The log did not record the claim.
     #[error("the log did not record the claim")]
--- a/crates/fuchsiabay-claims/src/claimer.rs
+++ b/crates/fuchsiabay-claims/src/claimer.rs
@@ -64,7 +64,8 @@
 }
 
 /// A summary for the dump of an agent's state.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct ClaimerStatus {
     /// Calls without an answer.
     pub calls: usize,
--- a/crates/fuchsiabay-claims/src/record.rs
+++ b/crates/fuchsiabay-claims/src/record.rs
@@ -9,7 +9,8 @@
 
 /// Names what runs at most once: an idempotency key within its workspace. Keys of different workspaces never
 /// meet, so that no caller receives the answer of another.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct ClaimKey {
     /// When the caller issued the key comes first in the order, so that the oldest keys are forgotten first.
     pub key: IdempotencyKey,
@@ -18,12 +19,14 @@
 }
 
 /// Numbers the claims of one life of an agent.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct ClaimId(pub u64);
 
 /// One claim on a key. No two claims are equal, because no writer uses an id twice.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 pub struct Claim {
     /// What is claimed.
     #[serde(flatten)]
@@ -36,7 +39,8 @@
 
 /// The recorded answer of a plain service.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Response {
     /// The HTTP status code.
     pub status: u16,
@@ -48,7 +52,8 @@
 }
 
 /// A record of the stream `claims`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "record", rename_all = "kebab-case")]
 pub enum ClaimRecord {
     /// Claims a key. The first valid one by offset holds it.
--- a/crates/fuchsiabay-config/src/document.rs
+++ b/crates/fuchsiabay-config/src/document.rs
@@ -8,7 +8,8 @@
 use crate::{Preset, Problem, Route, Service, ServiceKind, Workspace};
 
 /// The configuration document.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Document {
     /// The services by name.
--- a/crates/fuchsiabay-config/src/in_force.rs
+++ b/crates/fuchsiabay-config/src/in_force.rs
@@ -7,7 +7,8 @@
 /// The configuration in force: one document and exactly one of its presets.
 ///
 /// The version is one more than the offset of the accepted record, because zero stands for none on the wire.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(try_from = "Relayed", into = "Relayed")]
 pub struct InForce {
     /// The version.
@@ -21,7 +22,8 @@
 }
 
 /// The state as it is relayed. The preset is looked up again, so that it always belongs to the document.
-#[derive(Clone, Serialize, Deserialize)]
+#[derive(Clone)]
+#[derive(Serialize, Deserialize)]
 struct Relayed {
     version: u64,
     document: Document,
--- a/crates/fuchsiabay-config/src/preset.rs
+++ b/crates/fuchsiabay-config/src/preset.rs
@@ -5,7 +5,8 @@
 use crate::{Millis, Problem};
 
 /// The limits that hold while a preset is in force.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Preset {
     /// Attempts that may wait at one backend server.
--- a/crates/fuchsiabay-config/src/problem.rs
+++ b/crates/fuchsiabay-config/src/problem.rs
@@ -3,7 +3,8 @@
 use std::fmt;
 
 /// Names the field at fault and what is allowed in it.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub struct Problem {
     /// The path of the field, for example `presets.peak.long_share_percent`.
     pub field: String,
--- a/crates/fuchsiabay-config/src/record.rs
+++ b/crates/fuchsiabay-config/src/record.rs
@@ -6,7 +6,8 @@
 use crate::{Document, InForce};
 
 /// Identifies one publish or preset switch, so that a lost append answer can be settled by reading back.
-#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct PublishId(String);
 
@@ -23,7 +24,8 @@
 }
 
 /// A record of the stream `config`.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "record", rename_all = "kebab-case")]
 pub enum ConfigRecord {
     /// Proposes a document.
--- a/crates/fuchsiabay-config/src/reducer.rs
+++ b/crates/fuchsiabay-config/src/reducer.rs
@@ -35,7 +35,8 @@
 }
 
 /// Why a change is rejected.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum RejectReason {
     /// Another change was accepted first.
     #[error("it is based on version {based_on}, but version {current} is in force")]
--- a/crates/fuchsiabay-config/src/route.rs
+++ b/crates/fuchsiabay-config/src/route.rs
@@ -6,7 +6,8 @@
 use crate::Millis;
 
 /// How long work is expected to run.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum WorkClass {
     /// Look-ups and quick summaries.
@@ -17,7 +18,8 @@
 }
 
 /// A route of a plain service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Route {
     /// The HTTP method, in capitals.
--- a/crates/fuchsiabay-config/src/service.rs
+++ b/crates/fuchsiabay-config/src/service.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What kind of backend server offers a service.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum ServiceKind {
     /// A model engine, called through chat completions under the service's name as the model.
@@ -13,7 +14,8 @@
 }
 
 /// A service.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Service {
     /// Its kind.
--- a/crates/fuchsiabay-config/src/workspace.rs
+++ b/crates/fuchsiabay-config/src/workspace.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A workspace and its share.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Workspace {
     /// The share relative to other workspaces.
--- a/crates/fuchsiabay-experts/src/ledger.rs
+++ b/crates/fuchsiabay-experts/src/ledger.rs
@@ -15,7 +15,8 @@
 const BACKLOG_RECORDS: usize = 4096;
 
 /// Steps from `from` on, up to the next segment, use `map`.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Segment {
     /// The first step.
     pub from: u64,
@@ -24,7 +25,8 @@
 }
 
 /// A switch that is neither committed nor aborted.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PendingSwitch {
     /// The switch.
     pub switch: SwitchId,
--- a/crates/fuchsiabay-experts/src/map_record.rs
+++ b/crates/fuchsiabay-experts/src/map_record.rs
@@ -8,22 +8,26 @@
 use crate::{PendingSwitch, Segment};
 
 /// The number of an expert map of one group.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct MapVersion(pub u64);
 
 /// A rank of a group.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct Rank(pub u16);
 
 /// Identifies one attempt to switch: the offset of its `Prepare` record.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(transparent)]
 pub struct SwitchId(pub u64);
 
 /// A record of the log stream `maps-GROUP`.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
 pub enum MapRecord {
     /// Names the agents of the group's ranks. It voids an undecided switch of the generation before, because a lost
--- a/crates/fuchsiabay-fencing/src/engine_state.rs
+++ b/crates/fuchsiabay-fencing/src/engine_state.rs
@@ -7,7 +7,8 @@
 use crate::OrderKind;
 
 /// The values that an engine has, as read back from it.
-#[derive(Clone, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct EngineState {
     /// The value of each kind. A kind that was never set is missing.
     pub values: BTreeMap<OrderKind, String>,
--- a/crates/fuchsiabay-fencing/src/order.rs
+++ b/crates/fuchsiabay-fencing/src/order.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// What an order sets. Each kind is one value of the engine, so that orders of a kind replace each other.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum OrderKind {
     /// The model.
@@ -18,7 +19,8 @@
 }
 
 /// An order as operators append it to the log. Its offset becomes the fencing token.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct OrderRecord {
     /// What to set.
     pub kind: OrderKind,
@@ -29,7 +31,8 @@
 }
 
 /// An absolute order: it states the value to be reached and not a change.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub struct Order {
     /// What to set.
     pub kind: OrderKind,
@@ -49,7 +52,8 @@
 }
 
 /// Why an order was not accepted. It was not sent and never will be.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum OrderRefusal {
     /// An order with the same or a higher token came before.
     #[error("the fencing token is not above {high_water}")]
--- a/crates/fuchsiabay-fencing/src/snapshot.rs
+++ b/crates/fuchsiabay-fencing/src/snapshot.rs
@@ -5,7 +5,8 @@
 use crate::{EngineState, Order};
 
 /// The whole state, for operators.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct GateSnapshot {
     /// The highest token so far.
     pub high_water: Option<u64>,
@@ -20,7 +21,8 @@
 }
 
 /// An order in force.
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub struct TargetSnapshot {
     /// The order.
     pub order: Order,
--- a/crates/fuchsiabay-routing/src/quarantine.rs
+++ b/crates/fuchsiabay-routing/src/quarantine.rs
@@ -17,7 +17,8 @@
 const CRASHES_PER_FINGERPRINT: usize = 100;
 
 /// A record of the log stream `quarantine`. Times are on the Unix epoch.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
 pub enum QuarantineRecord {
     /// The backend server crashed while it ran the request.
--- a/crates/fuchsiabay-routing/src/transcript.rs
+++ b/crates/fuchsiabay-routing/src/transcript.rs
@@ -1,7 +1,8 @@
 //! The part of an answer that has arrived.
 
 /// Why a frame cannot be appended.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum TranscriptError {
     /// Tokens before the frame are missing.
     #[error("tokens {expected} to {first} are missing")]
--- a/crates/fuchsiabay-runtime/src/instance.rs
+++ b/crates/fuchsiabay-runtime/src/instance.rs
@@ -7,7 +7,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Whether an instance takes new work, as far as the lagging list knows.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum InstanceState {
     /// It takes new work.
@@ -17,7 +18,8 @@
 }
 
 /// An instance as the platform lists it.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct Instance {
     /// Its name.
     pub id: InstanceId,
--- a/crates/fuchsiabay-runtime/src/list_client.rs
+++ b/crates/fuchsiabay-runtime/src/list_client.rs
@@ -7,7 +7,8 @@
 use crate::{Instance, platform_http::PlatformHttp};
 
 /// Why the list could not be fetched.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("list: {0}")]
 pub struct ListError(String);
 
--- a/crates/fuchsiabay-runtime/src/log_client.rs
+++ b/crates/fuchsiabay-runtime/src/log_client.rs
@@ -9,7 +9,8 @@
 };
 
 /// Why a call to the log failed.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum LogError {
     /// Nothing was appended and nothing will be.
     #[error("log: {0}; nothing was appended")]
--- a/crates/fuchsiabay-runtime/src/log_page.rs
+++ b/crates/fuchsiabay-runtime/src/log_page.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// Consecutive records of a stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LogPage<T> {
     /// The offset of the first record that the log still retains.
     pub first: u64,
@@ -15,7 +16,8 @@
 }
 
 /// A record of a stream.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LogRecord<T> {
     /// Its offset.
     pub offset: u64,
--- a/crates/fuchsiabay-runtime/src/logging.rs
+++ b/crates/fuchsiabay-runtime/src/logging.rs
@@ -27,7 +27,8 @@
 ];
 
 /// The logger of the process was set before.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 #[error("the log is already set up")]
 pub struct AlreadySetUp;
 
--- a/crates/fuchsiabay-runtime/src/peer/call.rs
+++ b/crates/fuchsiabay-runtime/src/peer/call.rs
@@ -3,7 +3,8 @@
 use fuchsiabay_base::Verdict;
 
 /// Why a remote call has no result.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum CallError {
     /// The connection was closed, or the deadline passed, before the request was handed to the socket.
     #[error("the request was not sent")]
--- a/crates/fuchsiabay-runtime/src/peer/connection.rs
+++ b/crates/fuchsiabay-runtime/src/peer/connection.rs
@@ -47,7 +47,8 @@
 const SERVED_CALLS: usize = 4096;
 
 /// The connection is closed.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("the connection is closed")]
 pub struct PeerClosed;
 
--- a/crates/fuchsiabay-runtime/src/peer/handshake.rs
+++ b/crates/fuchsiabay-runtime/src/peer/handshake.rs
@@ -23,7 +23,8 @@
 }
 
 /// Why there is no connection. Nothing was run.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum ConnectError {
     /// The socket failed.
     #[error("socket error: {0}")]
--- a/crates/fuchsiabay-runtime/src/platform_http.rs
+++ b/crates/fuchsiabay-runtime/src/platform_http.rs
@@ -18,7 +18,8 @@
 const MAX_ONE_SHOT_BYTES: usize = 64 << 20;
 
 /// Why an exchange gave no usable response.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub(crate) enum ExchangeError {
     /// The request never reached the service.
     #[error("{0}")]
--- a/crates/fuchsiabay-wire/src/config_pull.rs
+++ b/crates/fuchsiabay-wire/src/config_pull.rs
@@ -4,14 +4,16 @@
 use serde_json::Value;
 
 /// Asks for the configuration.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigPullRequest {
     /// The version that the caller has. Zero stands for none.
     pub have_version: u64,
 }
 
 /// The configuration of a neighbour.
-#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq)]
+#[derive(Serialize, Deserialize)]
 pub struct ConfigPullReply {
     /// The neighbour's version. Zero stands for none.
     pub version: u64,
--- a/crates/fuchsiabay-wire/src/end.rs
+++ b/crates/fuchsiabay-wire/src/end.rs
@@ -5,7 +5,8 @@
 use serde_with::{base64::Base64, serde_as};
 
 /// The last frame of an attempt. A stream without it is truncated.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct End {
     /// The attempt that ended.
     pub attempt: AttemptId,
@@ -24,7 +25,8 @@
 }
 
 /// Why an attempt failed after it was admitted.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum AttemptError {
     /// The backend server crashed or closed the connection.
@@ -49,7 +51,8 @@
 
 /// The answer of a plain service.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct PlainResponse {
     /// The HTTP status code.
     pub status: u16,
--- a/crates/fuchsiabay-wire/src/frame.rs
+++ b/crates/fuchsiabay-wire/src/frame.rs
@@ -34,7 +34,8 @@
 }
 
 /// Why bytes are not a frame. The connection that carried them must be closed.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub enum DecodeError {
     /// The length field passes the limit.
     #[error("frame of {0} bytes exceeds the limit of {MAX_FRAME_BYTES} bytes")]
--- a/crates/fuchsiabay-wire/src/hello.rs
+++ b/crates/fuchsiabay-wire/src/hello.rs
@@ -8,7 +8,8 @@
 pub const PROTOCOL_VERSION: u16 = 1;
 
 /// What a peer is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Role {
     /// An entry instance.
@@ -18,7 +19,8 @@
 }
 
 /// Introduces one side of a connection.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Hello {
     /// The sender's [`PROTOCOL_VERSION`].
--- a/crates/fuchsiabay-wire/src/load_report.rs
+++ b/crates/fuchsiabay-wire/src/load_report.rs
@@ -4,7 +4,8 @@
 use serde::{Deserialize, Serialize};
 
 /// The load of one backend server.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct LoadReport {
     /// The agent's life.
     pub generation: Generation,
--- a/crates/fuchsiabay-wire/src/submit.rs
+++ b/crates/fuchsiabay-wire/src/submit.rs
@@ -7,7 +7,8 @@
 use crate::LoadReport;
 
 /// How urgent an attempt is.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Priority {
     /// Work that may wait behind everything else.
@@ -21,7 +22,8 @@
 
 /// What the backend server is asked to do.
 #[serde_as]
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
 pub enum Work {
     /// Generation by a model engine.
@@ -50,7 +52,8 @@
 }
 
 /// Asks an agent to run one attempt.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct SubmitRequest {
     /// The attempt, unique for the life of the sender.
     pub attempt: AttemptId,
@@ -79,7 +82,8 @@
 }
 
 /// Why an agent did not admit an attempt.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum RefusalReason {
     /// The queue is full.
@@ -105,7 +109,8 @@
 }
 
 /// The answer to a [`SubmitRequest`].
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 #[serde(tag = "result", rename_all = "kebab-case")]
 pub enum SubmitReply {
     /// The attempt was admitted. Its frames follow.
@@ -125,7 +130,8 @@
 }
 
 /// The answer to a cancellation.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
 pub struct CancelReply {
     /// `not-run` only when the attempt was removed before its start.
     pub verdict: Verdict,
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -2,6 +2,7 @@
 
 mod ci;
 mod steps;
+mod style;
 
 use bpaf::{OptionParser, Parser, construct};
 
--- a/xtask/src/steps.rs
+++ b/xtask/src/steps.rs
@@ -12,12 +12,15 @@
     Start(String, io::Error),
     /// The program ended with an error.
     Failed(String, ExitStatus),
+    /// Lines break the house style.
+    Style(usize),
 }
 
 impl fmt::Display for StepError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Start(step, error) => write!(f, "cannot start `{step}`: {error}"),
+            Self::Style(lines) => write!(f, "{lines} lines break the house style"),
             Self::Failed(step, status) => write!(f, "`{step}` failed: {status}"),
         }
     }
