--- /dev/null
+++ b/crates/fuchsiabay-settings/src/entry.rs
@@ -0,0 +1,75 @@
+//! Settings of an entry instance.
+
+use std::{net::SocketAddr, path::Path};
+
+use fuchsiabay_base::{InstanceId, ZoneName};
+use fuchsiabay_wire::SharedKey;
+use serde::Deserialize;
+
+use crate::{Limits, LoadError, LogSettings, key_text, problems::Problems, reader};
+
+/// The settings of an entry instance.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct EntrySettings {
+    /// The name of the instance, as the instance list has it.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Its region.
+    pub region: String,
+    /// Where it accepts callers.
+    #[serde(deserialize_with = "reader::address")]
+    pub listen: SocketAddr,
+    /// Where it accepts peer connections.
+    #[serde(deserialize_with = "reader::address")]
+    pub peer_listen: SocketAddr,
+    /// Where it serves operators.
+    #[serde(deserialize_with = "reader::address")]
+    pub ops_listen: SocketAddr,
+    /// The address of the log.
+    pub log_url: String,
+    /// The address of the instance list.
+    pub list_url: String,
+    /// The key that all processes of the installation share.
+    #[serde(deserialize_with = "key_text::deserialize")]
+    pub shared_key: SharedKey,
+    /// The number of threads that run its work.
+    #[serde(default = "default_threads")]
+    pub threads: u32,
+    /// Limits of what callers may send.
+    #[serde(default)]
+    pub limits: Limits,
+    /// What it logs.
+    #[serde(default)]
+    pub log: LogSettings,
+}
+
+/// Two threads keep one slow computation from holding up every connection, and cost little on a small instance.
+pub(crate) const fn default_threads() -> u32 {
+    2
+}
+
+impl EntrySettings {
+    /// Loads and checks the settings in the file `path`.
+    pub fn load(path: impl AsRef<Path>) -> Result<Self, LoadError> {
+        reader::load(path, Self::problems)
+    }
+
+    /// Reads and checks the settings in `text`. Faults name `file`.
+    pub fn parse(file: &str, text: &[u8]) -> Result<Self, LoadError> {
+        reader::parse(file, text, Self::problems)
+    }
+
+    fn problems(&self) -> Vec<(String, String)> {
+        let mut problems = Problems::default();
+        problems.name(self.instance.as_str(), "instance");
+        problems.name(self.zone.as_str(), "zone");
+        problems.name(&self.region, "region");
+        problems.url(&self.log_url, "log_url");
+        problems.url(&self.list_url, "list_url");
+        problems.range(self.threads, 1..=256, "threads", "threads");
+        self.limits.check(&mut problems);
+        problems.into_pairs()
+    }
+}
