Add stand-ins of the platform and the load generator

The daemons need a platform to run against and a caller that checks every answer. Each stand-in is a subcommand of fuchsiabay-bench that serves HTTP on loopback. Token texts are a function of prompt and position, so that the load generator recognises answers that are cut short, mixed up, or repeat or skip a token.

Without a balancer between, calls that are sent twice run twice and the report counts each of them as doubled, so the check of the at-most-once promise has an effect.

--- /dev/null
+++ b/crates/fuchsiabay-bench/src/load.rs
@@ -0,0 +1,14 @@
+//! Open-loop load generator.
+
+mod client;
+mod outcome;
+mod plan;
+mod report;
+mod run;
+mod settings;
+
+pub use outcome::Outcome;
+pub use plan::{Kind, Plan, Request};
+pub use report::Report;
+pub use run::run_load;
+pub use settings::{LoadSettings, Target};
--- a/crates/fuchsiabay-bench/src/main.rs
+++ b/crates/fuchsiabay-bench/src/main.rs
@@ -1,3 +1,5 @@
-//! Starts `fuchsiabay-bench`.
+//! Stand-ins of the platform and a load generator, for tests and measurements only.
 
-fn main() {}
+fn main() -> std::process::ExitCode {
+    fuchsiabay_bench::run()
+}
--- /dev/null
+++ b/crates/fuchsiabay-bench/src/weights.rs
@@ -0,0 +1,58 @@
+//! Stand-in of the rate-limited weight store.
+
+use std::{sync::Arc, time::Instant};
+
+use parking_lot::Mutex;
+use trillium::{Conn, Handler, Status};
+use trillium_router::{Router, RouterConnExt};
+
+use crate::server::{problem, with};
+
+/// A weight store. A token bucket limits the bytes per second over all callers.
+pub struct Weights {
+    bytes_per_second: u64,
+    expert_len: usize,
+    bucket: Mutex<Bucket>,
+}
+
+struct Bucket {
+    bytes: u64,
+    filled_at: Instant,
+}
+
+impl Weights {
+    /// Returns the HTTP handler of a store with experts of `expert_len` bytes each.
+    pub fn handler(bytes_per_second: u64, expert_len: usize) -> impl Handler {
+        let bucket = Mutex::new(Bucket { bytes: bytes_per_second, filled_at: Instant::now() });
+        let store = Arc::new(Self { bytes_per_second, expert_len, bucket });
+        Router::new().get("/weights/:layer/:expert", with(&store, Self::fetch))
+    }
+
+    async fn fetch(conn: Conn, store: Arc<Self>) -> Conn {
+        let expert = conn.param("layer").zip(conn.param("expert"));
+        let Some((Ok(layer), Ok(expert))) = expert.map(|(l, e)| (l.parse::<u64>(), e.parse::<u64>())) else {
+            return problem(conn, Status::BadRequest, "layer and expert are numbers");
+        };
+        if !store.take(store.expert_len as u64) {
+            return problem(conn, Status::TooManyRequests, "the limit of bytes per second is reached")
+                .with_response_header("retry-after", "1");
+        }
+        let mut rng = fastrand::Rng::with_seed(layer << 32 | expert);
+        let weights: Vec<u8> = (0..store.expert_len).map(|_| rng.u8(..)).collect();
+        conn.ok(weights).with_response_header("content-type", "application/octet-stream").halt()
+    }
+
+    fn take(&self, bytes: u64) -> bool {
+        let mut bucket = self.bucket.lock();
+        let refill = bucket.filled_at.elapsed().as_millis() as u64 * self.bytes_per_second / 1000;
+        if refill > 0 {
+            bucket.bytes = (bucket.bytes + refill).min(self.bytes_per_second);
+            bucket.filled_at = Instant::now();
+        }
+        if bucket.bytes < bytes {
+            return false;
+        }
+        bucket.bytes -= bytes;
+        true
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-bench/tests/plan.rs
@@ -0,0 +1,39 @@
+//! Plans are fixed by their seed, and calls sent twice take different ways.
+
+use std::collections::HashMap;
+
+use fuchsiabay_bench::{Kind, LoadSettings, Plan, Target};
+
+fn settings(seed: u64, entries: usize) -> LoadSettings {
+    let urls = (0..entries).map(|i| format!("http://127.0.0.1:{i}")).collect();
+    LoadSettings { seed, target: Target::Entries(urls), ..LoadSettings::default() }
+}
+
+fn check(seed: u64, entries: usize, twins_share_an_entry: bool) {
+    let plan = Plan::new(&settings(seed, entries));
+    assert_eq!(plan, Plan::new(&settings(seed, entries)));
+    assert_ne!(plan, Plan::new(&settings(seed + 1, entries)));
+    assert!(plan.requests.is_sorted_by_key(|request| request.at_us));
+    let mut sendings: HashMap<u128, Vec<usize>> = HashMap::new();
+    for request in &plan.requests {
+        if let Kind::Keyed { random, .. } = request.kind {
+            sendings.entry(random).or_default().push(request.entry);
+        }
+    }
+    let mut twins = sendings.values().filter(|entries| entries.len() == 2).peekable();
+    assert!(twins.peek().is_some());
+    assert!(twins.all(|entries| (entries[0] == entries[1]) == twins_share_an_entry));
+}
+
+macro_rules! cases {
+    ($($name:ident: $seed:expr, $entries:expr => $shared:expr;)+) => {
+        $(#[test] fn $name() { check($seed, $entries, $shared); })+
+    };
+}
+
+// A twin through the same entry instance would not show that claims hold across entry instances.
+cases! {
+    one_entry: 1, 1 => true;
+    two_entries: 2, 2 => false;
+    five_entries: 3, 5 => false;
+}
--- /dev/null
+++ b/crates/fuchsiabay-bench/tests/stand_ins.rs
@@ -0,0 +1,129 @@
+//! The stand-ins keep the protocols of docs/platform.md.
+
+use fuchsiabay_bench::{
+    Answer, CrashMode, Engine, EngineSettings, Fencing, List, Log, LogSettings, Server, Service, Weights,
+};
+use trillium::Handler;
+use trillium_client::Client;
+
+/// A request, and the status and part of the body that must come back. Status 0 stands for a
+/// broken connection.
+type Step = (&'static str, &'static str, String, u16, String);
+
+fn step(method: &'static str, path: &'static str, body: &str, status: u16, part: &str) -> Step {
+    (method, path, body.to_owned(), status, part.to_owned())
+}
+
+fn check(handler: impl Handler, steps: Vec<Step>) {
+    async_global_executor::block_on(async {
+        let server = Server::start(0, handler).await.expect("a free port");
+        let client = Client::new(trillium_smol::ClientConfig::new());
+        for (method, path, body, expected, part) in steps {
+            let mut conn = client
+                .build_conn(method, format!("{}{path}", server.url()))
+                .with_request_header("idempotency-key", "one")
+                .with_body(body);
+            let (status, text) = match (&mut conn).await {
+                Ok(_) => {
+                    let status = conn.status().map_or(0, |status| status as u16);
+                    conn.response_body().read_string().await.map_or((0, String::new()), |text| (status, text))
+                }
+                Err(_) => (0, String::new()),
+            };
+            assert_eq!(status, expected, "{method} {path}: {text}");
+            assert!(text.contains(&part), "{method} {path}: {text} lacks {part}");
+        }
+        server.stop().await;
+    });
+}
+
+fn fast() -> EngineSettings {
+    EngineSettings { step_us: 10, crash: CrashMode::Abort, ..EngineSettings::default() }
+}
+
+fn resumed(from: u32, text: &str) -> String {
+    format!(r#"{{"id":"b","prompt":"p","max_tokens":6,"resume_from":{from},"resume_text":"{text}"}}"#)
+}
+
+macro_rules! cases {
+    ($($name:ident: $handler:expr => [$($step:expr),+ $(,)?];)+) => {
+        $(#[test] fn $name() { check($handler, vec![$($step),+]); })+
+    };
+}
+
+const RECORDS: &str = "/streams/s/records";
+
+// A stand-in that is kinder than the platform would hide faults of the daemons.
+cases! {
+    log_offsets_are_dense: Log::handler(LogSettings::default()) => [
+        step("POST", RECORDS, r#"{"records":["a","b"]}"#, 200, r#"{"offsets":[1,2]}"#),
+        step("POST", RECORDS, r#"{"records":["c"]}"#, 200, r#"{"offsets":[3]}"#),
+        step("GET", "/streams/s/records?from=3&max=9", "", 200, r#""next":4"#),
+    ];
+    log_retention_moves_first: Log::handler(LogSettings { retention_records: 1, ..LogSettings::default() }) => [
+        step("POST", RECORDS, r#"{"records":["a","b"]}"#, 200, ""),
+        step("GET", RECORDS, "", 200, r#""first":2"#),
+    ];
+    log_loses_an_answer_after_the_effect: Log::handler(LogSettings::default()) => [
+        step("POST", "/faults", r#"{"lose_answers":1}"#, 200, ""),
+        step("POST", RECORDS, r#"{"records":["a"]}"#, 0, ""),
+        step("GET", RECORDS, "", 200, r#""next":2"#),
+    ];
+    log_outage_has_no_effect: Log::handler(LogSettings::default()) => [
+        step("POST", "/faults", r#"{"outage":true}"#, 200, ""),
+        step("POST", RECORDS, r#"{"records":["a"]}"#, 503, ""),
+        step("POST", "/faults", "{}", 200, ""),
+        step("GET", RECORDS, "", 200, r#""next":1"#),
+    ];
+    log_limits_appends: Log::handler(LogSettings { appends_per_second: 0, ..LogSettings::default() }) => [
+        step("POST", RECORDS, r#"{"records":["a"]}"#, 429, ""),
+    ];
+    list_shows_what_was_set: List::handler(0) => [
+        step("POST", "/instances", r#"{"instances":[{"id":"a"}]}"#, 204, ""),
+        step("GET", "/instances", "", 200, r#"{"instances":[{"id":"a"}]}"#),
+    ];
+    list_lags: List::handler(3_600_000) => [
+        step("POST", "/instances", r#"{"instances":[{"id":"a"}]}"#, 204, ""),
+        step("GET", "/instances", "", 200, r#"{"instances":[]}"#),
+    ];
+    service_counts_each_run: Service::handler(0) => [
+        step("POST", "/releases", "x", 200, r#""path":"/releases""#),
+        step("POST", "/releases", "x", 200, ""),
+        step("GET", "/effects", "", 200, r#""one":2"#),
+    ];
+    weights_are_limited: Weights::handler(10, 8) => [
+        step("GET", "/weights/1/2", "", 200, ""),
+        step("GET", "/weights/1/3", "", 429, ""),
+    ];
+    engine_generates_the_whole_answer: Engine::handler(fast()) => [
+        step("POST", "/v1/generate", r#"{"id":"a","prompt":"p","max_tokens":6}"#, 200, r#"{"done":true,"total":6}"#),
+    ];
+    engine_resumes_at_a_position: Engine::handler(fast()) => [
+        step("POST", "/v1/generate", &resumed(5, &Answer::to("p").text(5)), 200, r#"data: {"pos":5"#),
+        step("POST", "/v1/generate", &resumed(5, "other"), 422, ""),
+    ];
+    engine_crash_breaks_streams: Engine::handler(fast()) => [
+        step("POST", "/v1/generate", r#"{"id":"a","prompt":"p [crash]","max_tokens":6}"#, 0, ""),
+    ];
+    engine_refuses_an_old_fence: Engine::handler(fast()) => [
+        step("POST", "/orders", r#"{"fence":5,"kind":"set-role","target":"a"}"#, 200, ""),
+        step("POST", "/orders", r#"{"fence":4,"kind":"set-role","target":"b"}"#, 409, r#""highest_fence":5"#),
+        step("GET", "/orders", "", 200, r#""target":"a""#),
+    ];
+    engine_ignores_an_old_fence: Engine::handler(EngineSettings { fencing: Fencing::Ignore, ..fast() }) => [
+        step("POST", "/orders", r#"{"fence":5,"kind":"set-role","target":"a"}"#, 200, ""),
+        step("POST", "/orders", r#"{"fence":4,"kind":"set-role","target":"b"}"#, 200, ""),
+        step("GET", "/orders", "", 200, r#""target":"b""#),
+    ];
+    group_refuses_unknown_ranks_and_old_permits: Engine::handler(EngineSettings { ranks: 2, ..fast() }) => [
+        step("POST", "/group/permit", r#"{"rank":0,"map":1,"through_step":5}"#, 204, ""),
+        step("POST", "/group/permit", r#"{"rank":0,"map":1,"through_step":5}"#, 409, ""),
+        step("POST", "/group/permit", r#"{"rank":2,"map":1,"through_step":5}"#, 409, ""),
+        step("GET", "/group", "", 200, r#""step":0"#),
+    ];
+    unknown_streams_are_not_found: Engine::handler(fast()) => [
+        step("POST", "/cancel/a", "", 404, ""),
+        step("POST", "/pause/a", "", 404, ""),
+        step("GET", "/kv/a", "", 404, ""),
+    ];
+}
