--- /dev/null
+++ b/crates/fuchsiabay-claims/tests/claimer.rs
@@ -0,0 +1,191 @@
+//! One agent's claimer dispatches only what it won, and says `not-run` only when it cannot start any more.
+
+use std::sync::Arc;
+
+use fuchsiabay_base::{Fingerprint, Generation, IdempotencyKey, Timestamp, WriterId};
+use fuchsiabay_claims::{
+    BatchId, CallId, ClaimError, ClaimKey, ClaimLimits, ClaimRecord, Claimer, Command, Finished, Logged,
+    Response, Submission,
+};
+
+const LIMITS: ClaimLimits = ClaimLimits { window_ms: 60_000, skew_ms: 1_000, margin_ms: 1_000 };
+const START: Timestamp = Timestamp::from_millis(1_000_000);
+
+fn writer(instance: &str) -> WriterId {
+    WriterId { instance: instance.into(), generation: Generation(1) }
+}
+
+fn submission(call: u64, body: &str) -> Submission {
+    let key = ClaimKey { key: IdempotencyKey::from_parts(START, 7), workspace: "w".into() };
+    let fingerprint = Fingerprint::of(&[body.as_bytes()]);
+    Submission { call: CallId(call), key, fingerprint, deadline: START.plus_millis(5_000) }
+}
+
+/// Two agents, `a` under test and `b`, and one log. Steps are words; see `step`.
+struct World {
+    claimer: Claimer,
+    rival: Claimer,
+    log: Vec<Logged>,
+    now: Timestamp,
+    batch: u64,
+    pending: Vec<ClaimRecord>,
+    seen: Vec<String>,
+}
+
+impl World {
+    fn step(&mut self, word: &str) {
+        let (word, argument) = word.split_once('=').unwrap_or((word, "body"));
+        match word {
+            "page" => self.claimer.page(self.now, 0, &self.log),
+            "gap" => self.claimer.page(self.now, 1_000, &[]),
+            "submit" => self.claimer.submit(self.now, submission(1, argument)),
+            "again" => self.claimer.submit(self.now, submission(2, argument)),
+            "stored" => self.store(),
+            "ack" => self.claimer.append_acknowledged(self.now, BatchId(self.batch)),
+            "refused" => self.claimer.append_refused(self.now, BatchId(self.batch)),
+            "unknown" => self.claimer.append_unknown(self.now, BatchId(self.batch)),
+            "down" => self.claimer.log_unavailable(self.now),
+            "cancel" => drop(self.claimer.cancel(self.now, CallId(1), ClaimError::Cancelled)),
+            "responded" => {
+                self.claimer.dispatch_finished(self.now, CallId(1), Finished::Responded(response()))
+            }
+            "not_started" => self.claimer.dispatch_finished(self.now, CallId(1), Finished::NotStarted),
+            "lost" => self.claimer.dispatch_finished(self.now, CallId(1), Finished::Unknown),
+            "wait" => self.wait(argument.parse().expect("milliseconds")),
+            "rival" => self.rival_claims(),
+            "rival_done" => self.rival_does(Finished::Responded(response())),
+            "rival_frees" => self.rival_does(Finished::NotStarted),
+            _ => panic!("unknown step {word}"),
+        }
+        for command in self.claimer.take_commands() {
+            self.note(command);
+        }
+    }
+
+    fn note(&mut self, command: Command) {
+        match command {
+            Command::Append { batch, records } => {
+                self.batch = batch.0;
+                let kinds: Vec<_> = records.iter().map(kind).collect();
+                self.seen.push(format!("append {}", kinds.join("+")));
+                self.pending = records;
+            }
+            Command::Dispatch { call } => self.seen.push(format!("dispatch {}", call.0)),
+            Command::Answer { call, answer } => {
+                let result =
+                    answer.result.map_or_else(|error| format!("{error:?}"), |r| r.status.to_string());
+                self.seen.push(format!("answer {} {} {result}", call.0, answer.verdict));
+            }
+        }
+    }
+
+    fn store(&mut self) {
+        let pending = std::mem::take(&mut self.pending);
+        self.append(pending);
+    }
+
+    fn append(&mut self, records: Vec<ClaimRecord>) {
+        for record in records {
+            let offset = self.log.len() as u64;
+            self.log.push(Logged { offset, at: self.now, record: Some(record) });
+        }
+    }
+
+    fn wait(&mut self, ms: u64) {
+        self.now = self.now.plus_millis(ms);
+        self.claimer.tick(self.now);
+    }
+
+    fn rival_claims(&mut self) {
+        self.rival.page(self.now, 0, &self.log);
+        self.rival.submit(self.now, submission(9, "body"));
+        self.flush_rival();
+        self.rival.page(self.now, 0, &self.log);
+        self.rival.take_commands();
+    }
+
+    fn rival_does(&mut self, finished: Finished) {
+        self.rival.dispatch_finished(self.now.plus_millis(10), CallId(9), finished);
+        self.flush_rival();
+    }
+
+    fn flush_rival(&mut self) {
+        for command in self.rival.take_commands() {
+            if let Command::Append { batch, records } = command {
+                self.append(records);
+                self.rival.append_acknowledged(self.now, batch);
+            }
+        }
+    }
+}
+
+fn kind(record: &ClaimRecord) -> &'static str {
+    match record {
+        ClaimRecord::Claim { .. } => "claim",
+        ClaimRecord::Outcome { .. } => "outcome",
+        ClaimRecord::Release { .. } => "release",
+    }
+}
+
+fn response() -> Arc<Response> {
+    Arc::new(Response { status: 201, content_type: "text/plain".into(), body: b"done".to_vec() })
+}
+
+fn check(steps: &str, expected: &[&str]) {
+    let mut world = World {
+        claimer: Claimer::new(writer("a"), LIMITS),
+        rival: Claimer::new(writer("b"), LIMITS),
+        log: Vec::new(),
+        now: START,
+        batch: 0,
+        pending: Vec::new(),
+        seen: Vec::new(),
+    };
+    for word in steps.split_whitespace() {
+        world.step(word);
+    }
+    assert_eq!(world.seen, expected);
+}
+
+macro_rules! cases {
+    ($($name:ident: $steps:literal => [$($expected:literal),*];)+) => {
+        $(#[test] fn $name() { check($steps, &[$($expected),*]); })+
+    };
+}
+
+cases! {
+    winner_dispatches_and_records: "page submit stored ack page responded wait=10" =>
+        ["append claim", "dispatch 1", "answer 1 ran 201", "append outcome"];
+    // An acknowledgement alone does not say who is first.
+    acknowledged_is_not_won: "page submit rival stored ack" => ["append claim"];
+    nothing_is_claimed_before_the_first_page: "submit" => ["answer 1 not-run LogUnavailable"];
+    log_outage_refuses_at_once: "page down submit" => ["answer 1 not-run LogUnavailable"];
+    refused_append_needs_no_release: "page submit refused page wait=20" =>
+        ["append claim", "answer 1 not-run LogUnavailable"];
+    // The record of a lost answer may arrive at any time, and its call was already answered.
+    lost_answer_is_never_dispatched: "page submit unknown stored page wait=20" =>
+        ["append claim", "answer 1 not-run LogUnavailable", "append release"];
+    lost_release_is_repeated: "page submit unknown page wait=20 unknown page wait=20" =>
+        ["append claim", "answer 1 not-run LogUnavailable", "append release", "append release"];
+    read_back_before_the_answer_is_enough: "page submit stored page unknown responded" =>
+        ["append claim", "dispatch 1", "answer 1 ran 201"];
+    held_key_is_not_run_again: "page rival page submit wait=2000" => ["answer 1 may-have-run ClaimHeld"];
+    loser_answers_from_the_outcome: "page submit rival rival_done stored ack page" =>
+        ["append claim", "answer 1 ran 201"];
+    loser_claims_again_after_a_release: "page submit rival stored ack page rival_frees page wait=10 ack stored page" =>
+        ["append claim", "append claim", "dispatch 1"];
+    key_with_another_body_is_refused: "page rival page submit=other" => ["answer 1 not-run KeyReused"];
+    second_call_on_the_same_agent_waits: "page submit stored ack page again responded wait=10 stored ack page" =>
+        ["append claim", "dispatch 1", "answer 1 ran 201", "append outcome", "answer 2 ran 201"];
+    deadline_makes_the_start_impossible: "page submit ack wait=5000 stored ack page" =>
+        ["append claim", "answer 1 not-run DeadlinePassed", "append release"];
+    cancel_before_the_win: "page submit cancel ack stored page wait=10" =>
+        ["append claim", "answer 1 not-run Cancelled", "append release"];
+    cancel_after_the_start_changes_nothing: "page submit stored ack page cancel lost" =>
+        ["append claim", "dispatch 1", "answer 1 may-have-run BackendLost"];
+    not_started_releases: "page submit stored ack page not_started wait=10" =>
+        ["append claim", "dispatch 1", "answer 1 not-run BackendLost", "append release"];
+    // Records that were dropped may hold an earlier claim on the key.
+    gap_gives_pending_claims_up: "page submit ack gap wait=10" =>
+        ["append claim", "answer 1 not-run LogUnavailable", "append release"];
+}
--- a/crates/fuchsiabay-config/src/reducer.rs
+++ b/crates/fuchsiabay-config/src/reducer.rs
@@ -131,11 +131,13 @@
 
     /// Takes over the state of a neighbour if its version is higher. Returns whether it was.
     pub fn adopt(&mut self, state: InForce) -> bool {
+        let before = self.version();
         let state = Arc::new(state);
-        if self.base.is_none() && self.next.is_some() {
+        if self.next.is_some() {
             self.rebase(&state);
         }
-        self.serve(state)
+        self.serve(state);
+        self.version() > before
     }
 
     /// Returns the configuration in force.
@@ -227,7 +229,7 @@
         self.base = Some(base);
     }
 
-    fn serve(&mut self, state: Arc<InForce>) -> bool {
+    fn serve(&mut self, state: Arc<InForce>) {
         let current = self.in_force.as_ref();
         invariant!(
             "config-one-state-per-version",
@@ -236,10 +238,9 @@
             state.version
         );
         if state.version <= self.version() && mechanism("never-lower") {
-            return false;
+            return;
         }
         self.in_force = Some(state);
-        true
     }
 }
 
--- /dev/null
+++ b/crates/fuchsiabay-config/tests/reducer.rs
@@ -0,0 +1,168 @@
+//! Every reader of the same log comes to the same configuration, whatever it missed.
+
+use fuchsiabay_base::Timestamp;
+use fuchsiabay_config::{
+    Applied, ConfigRecord, ConfigReducer, Document, InForce, Millis, PublishId, PublishTracker, Settled,
+};
+use quickcheck::{Gen, QuickCheck};
+use serde_json::{Value, json};
+
+fn document(mark: u32) -> Document {
+    let preset = json!({
+        "queue_limit": mark, "long_share_percent": 50, "ageing_ms": 1, "long_work_tokens": 1,
+        "max_output_tokens": 1, "retry_budget_percent": 10, "spill_over_ms": 1, "quarantine_crashes": 2,
+        "quarantine_ms": 1, "default_deadline_ms": 1, "drain_ms": 1
+    });
+    serde_json::from_value(json!({
+        "services": {"writer": {"kind": "model"}}, "workspaces": {},
+        "presets": {"ordinary": preset, "peak": preset}, "initial_preset": "ordinary"
+    }))
+    .expect("the document is complete")
+}
+
+fn publish(id: &str, based_on: u64, mark: u32) -> Value {
+    json(&ConfigRecord::publish(PublishId::new(id), based_on, &document(mark)))
+}
+
+fn switch(id: &str, based_on: u64, preset: &str) -> Value {
+    json(&ConfigRecord::PresetSwitch { publish: PublishId::new(id), based_on, preset: preset.to_owned() })
+}
+
+fn snapshot(version: u64, mark: u32, as_of: u64) -> Value {
+    let state = InForce::new(version, document(mark), "ordinary".to_owned()).map(Box::new);
+    json(&ConfigRecord::Snapshot { state, as_of })
+}
+
+fn json(record: &ConfigRecord) -> Value {
+    serde_json::to_value(record).expect("records serialise")
+}
+
+fn reduce(first: u64, records: &[Value]) -> ConfigReducer {
+    let mut reducer = ConfigReducer::default();
+    reducer.begin(first);
+    for (offset, record) in (first..).zip(records) {
+        reducer.apply_raw(offset, Timestamp::from_millis(offset * 1_000), record);
+    }
+    reducer
+}
+
+/// Expects the version, the preset and the mark of the document in force.
+fn check(first: u64, records: &[Value], expected: Option<(u64, &str, u32)>) {
+    let reducer = reduce(first, records);
+    let found = reducer.in_force().map(|s| (s.version, s.preset_name.as_str(), s.preset.queue_limit));
+    assert_eq!(found, expected);
+}
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident: $first:expr, $records:expr => $expected:expr;)+) => {
+        $($(#[$doc])* #[test] fn $name() { check($first, &$records, $expected); })+
+    };
+}
+
+cases! {
+    empty_log_has_no_configuration: 0, [] => None;
+    first_publish_is_accepted: 0, [publish("a", 0, 7)] => Some((1, "ordinary", 7));
+    // Two operators publish on the same base: the second must not overwrite the first unseen.
+    second_of_two_races_is_rejected: 0, [publish("a", 0, 7), publish("b", 0, 8)] => Some((1, "ordinary", 7));
+    repeated_append_is_harmless: 0, [publish("a", 0, 7), publish("a", 0, 7)] => Some((1, "ordinary", 7));
+    preset_switch_keeps_the_document: 0, [publish("a", 0, 7), switch("b", 1, "peak")] => Some((2, "peak", 7));
+    publish_keeps_the_preset: 0, [publish("a", 0, 7), switch("b", 1, "peak"), publish("c", 2, 8)]
+        => Some((3, "peak", 8));
+    unknown_preset_is_rejected: 0, [publish("a", 0, 7), switch("b", 1, "night")] => Some((1, "ordinary", 7));
+    faulty_document_is_rejected: 0, [publish("a", 0, 7), publish("b", 1, 0)] => Some((1, "ordinary", 7));
+    switch_without_a_document_is_rejected: 0, [switch("a", 0, "peak")] => None;
+    garbage_is_ignored: 0, [json!(null), json!({"record": "publish"}), publish("a", 0, 7)]
+        => Some((3, "ordinary", 7));
+    // A reader that cannot know what was dropped must not judge.
+    no_base_after_truncation: 5, [publish("a", 0, 7)] => None;
+    snapshot_is_a_base: 5, [snapshot(3, 7, 4), publish("a", 3, 8)] => Some((7, "ordinary", 8));
+    records_before_their_snapshot_count: 5, [publish("a", 3, 8), snapshot(3, 7, 4)] => Some((6, "ordinary", 8));
+    // A snapshot that was appended late misses records, and must revert nobody.
+    late_snapshot_is_no_base: 5, [snapshot(2, 7, 3)] => None;
+    late_snapshot_reverts_nobody: 0, [publish("a", 0, 7), publish("b", 1, 8), snapshot(1, 7, 0)]
+        => Some((2, "ordinary", 8));
+    snapshot_of_the_future_is_refused: 5, [snapshot(9, 7, 9)] => None;
+}
+
+// A gap must not lower the version, and the state relayed by a neighbour may serve as the base.
+#[test]
+fn gap_is_bridged_by_a_neighbour() {
+    let mut reducer = reduce(0, &[publish("a", 0, 7)]);
+    reducer.begin(4);
+    assert_eq!((reducer.version(), reducer.reduced_version()), (1, None));
+    let relayed = InForce::new(4, document(9), "peak".to_owned()).expect("the preset exists");
+    let relayed = serde_json::from_value(serde_json::to_value(relayed).expect("it serialises"));
+    assert!(reducer.adopt(relayed.expect("it parses")));
+    assert_eq!((reducer.version(), reducer.reduced_version()), (4, Some(4)));
+    let old = InForce::new(2, document(9), "peak".to_owned()).expect("the preset exists");
+    assert!(!reducer.adopt(old));
+}
+
+// Without a snapshot in time, retention would drop the state.
+#[test]
+fn snapshot_is_due_after_a_quarter_of_the_retention() {
+    let mut reducer = reduce(0, &[publish("a", 0, 7), switch("b", 1, "peak")]);
+    assert_eq!(reducer.snapshot_due_at(Millis(8_000)), Some(Timestamp::from_millis(2_000)));
+    let snapshot = reducer.snapshot().expect("there is a base");
+    reducer.apply(2, Timestamp::from_millis(9_000), &snapshot);
+    assert_eq!(reducer.snapshot_due_at(Millis(8_000)), Some(Timestamp::from_millis(11_000)));
+    let mut follower = ConfigReducer::default();
+    follower.begin(2);
+    follower.apply(2, Timestamp::from_millis(9_000), &snapshot);
+    assert_eq!(follower.in_force(), reducer.in_force());
+}
+
+fn check_tracker(records: &[Value], expected: fn(&Settled) -> bool) {
+    let own =
+        ConfigRecord::PresetSwitch { publish: PublishId::new("own"), based_on: 1, preset: "peak".into() };
+    let mut tracker = PublishTracker::new(&own).expect("a switch is a proposal");
+    let mut reducer = reduce(0, &[publish("a", 0, 7)]);
+    for (offset, record) in (1..).zip(records) {
+        let applied = reducer.apply_raw(offset, Timestamp::ZERO, record);
+        assert!(!matches!(applied, Applied::Accepted { version: 0 }));
+        tracker.observe(&serde_json::from_value(record.clone()).expect("it parses"), &applied);
+    }
+    assert!(expected(&tracker.settled()), "{:?}", tracker.settled());
+}
+
+macro_rules! tracker_cases {
+    ($($name:ident: $records:expr => $expected:pat,)+) => {
+        $(#[test] fn $name() { check_tracker(&$records, |settled| matches!(settled, $expected)); })+
+    };
+}
+
+// The author must never read "accepted" or "rejected" off anything but the log.
+tracker_cases! {
+    unread_is_unknown: [] => Settled::Unknown,
+    read_back_is_accepted: [switch("own", 1, "peak")] => Settled::Accepted { version: 2 },
+    accepted_stays_so: [switch("own", 1, "peak"), publish("b", 2, 8)] => Settled::Accepted { version: 2 },
+    superseded_is_rejected: [publish("b", 1, 8)] => Settled::Rejected { .. },
+    rejected_proposal_of_another_settles_nothing: [publish("b", 0, 8)] => Settled::Unknown,
+}
+
+// Any reader that starts later, behind retention, agrees with the one that saw everything.
+fn readers_agree(choices: Vec<(u8, u8)>, start: u8) -> bool {
+    let mut all = ConfigReducer::default();
+    all.begin(0);
+    let mut log = Vec::new();
+    for (i, (kind, back)) in choices.iter().enumerate() {
+        let base = all.version().saturating_sub(u64::from(back % 3 / 2));
+        let record = match kind % 4 {
+            0 => publish(&i.to_string(), base, u32::from(*back)),
+            1 => switch(&i.to_string(), base, if back % 2 == 0 { "peak" } else { "night" }),
+            2 => all.snapshot().map_or(Value::Null, |record| json(&record)),
+            _ => log.get(usize::from(*back)).cloned().unwrap_or_default(),
+        };
+        all.apply_raw(i as u64, Timestamp::ZERO, &record);
+        log.push(record);
+    }
+    let first = usize::from(start) % (log.len() + 1);
+    let late = reduce(first as u64, &log[first..]);
+    late.reduced_version().is_none() || late.in_force() == all.in_force()
+}
+
+#[test]
+fn property_readers_agree() {
+    let property = readers_agree as fn(Vec<(u8, u8)>, u8) -> bool;
+    QuickCheck::new().tests(300).rng(Gen::from_size_and_seed(40, 1)).quickcheck(property);
+}
