Store the freshness deadline and relay outages as an age

A neighbour without a proof states the greatest age. The subtraction stopped at the epoch, so on a clock that starts with the process such an answer counted as a proof for the first 6 s. The deadline is now stored instead, and an age beyond the window proves nothing. During an outage the stated age comes from the readers' reports, so that agents, which have no list of the readers, keep serving. A key issued in the very millisecond of the first retained record is refused now, because its first claim may be among the dropped records.

--- a/crates/fuchsiabay-claims/src/ledger.rs
+++ b/crates/fuchsiabay-claims/src/ledger.rs
@@ -106,7 +106,7 @@
             return Ok(());
         }
         let oldest_claim = key.key.issued_at().minus_millis(self.limits.skew_ms);
-        let seen_all = self.floor.is_none_or(|floor| oldest_claim >= floor);
+        let seen_all = self.floor.is_none_or(|floor| oldest_claim > floor);
         if !seen_all || !self.limits.in_time(&key.key, now) {
             return Err(ClaimError::KeyOutsideWindow);
         }
--- a/crates/fuchsiabay-claims/tests/ledger.rs
+++ b/crates/fuchsiabay-claims/tests/ledger.rs
@@ -93,6 +93,6 @@
     key_of_the_future: 0, 0, 10_101, 10_000 => false;
     key_within_the_skew: 0, 0, 10_100, 10_000 => true;
     // The record of an earlier run may be among those that were dropped.
-    key_before_the_first_record: 7, 10_000, 10_099, 10_100 => false;
-    key_after_the_first_record: 7, 10_000, 10_100, 10_100 => true;
+    key_before_the_first_record: 7, 10_000, 10_100, 10_100 => false;
+    key_after_the_first_record: 7, 10_000, 10_101, 10_101 => true;
 }
--- a/crates/fuchsiabay-config/src/freshness.rs
+++ b/crates/fuchsiabay-config/src/freshness.rs
@@ -31,7 +31,9 @@
 #[derive(Clone, Debug)]
 pub struct Freshness {
     own: InstanceId,
-    proved_at: Option<Timestamp>,
+    /// Until when the last proof counts. The deadline is stored and not the time of the proof, which may lie before
+    /// the epoch of a clock that starts with the process.
+    fresh_until: Option<Timestamp>,
     log_failed_at: Option<Timestamp>,
     readers: BTreeMap<InstanceId, Report>,
 }
@@ -39,13 +41,16 @@
 impl Freshness {
     /// Creates the state of the process `own` before its first proof.
     pub fn new(own: InstanceId) -> Self {
-        Self { own, proved_at: None, log_failed_at: None, readers: BTreeMap::new() }
+        Self { own, fresh_until: None, log_failed_at: None, readers: BTreeMap::new() }
     }
 
     /// Takes an answer as proof. `asked_at` is when the question was sent, so that a delayed answer never looks
     /// fresher than it is; `age_ms` is the age that the answer states, zero for a read of the log's end.
     pub fn proved(&mut self, asked_at: Timestamp, age_ms: u64) {
-        self.proved_at = self.proved_at.max(Some(asked_at.minus_millis(age_ms)));
+        let Some(left_ms) = FRESH_MS.checked_sub(age_ms) else {
+            return;
+        };
+        self.fresh_until = self.fresh_until.max(Some(asked_at.plus_millis(left_ms)));
     }
 
     /// Notes that this process read the log to its end, in a read that began at `asked_at`.
@@ -92,14 +97,15 @@
 
     /// Returns until when the last proof counts.
     pub fn deadline(&self) -> Option<Timestamp> {
-        self.proved_at.map(|at| at.plus_millis(FRESH_MS))
+        self.fresh_until
     }
 
-    /// Returns the age of the last proof, for the answer to a neighbour. An outage for everybody is a proof too, dated by
-    /// the oldest failed read behind it, so that neighbours that cannot ask every reader go on serving.
+    /// Returns the age of the last proof, for the answer to a neighbour. An outage for everybody is a proof too, dated
+    /// by the oldest failed read behind it, so that neighbours that cannot ask every reader go on serving.
     pub fn age_ms(&self, now: Timestamp) -> Option<u64> {
-        let outage_since = if self.outage(now) { self.oldest_failed_read() } else { None };
-        self.proved_at.max(outage_since).map(|at| now.millis_since(at))
+        let outage_until = if self.outage(now) { self.outage_until() } else { None };
+        let until = self.fresh_until.max(outage_until)?;
+        Some((now.millis_since(until) + FRESH_MS).saturating_sub(until.millis_since(now)))
     }
 
     /// Returns whether this process's own last read of the log failed, for the answer to a neighbour.
@@ -107,15 +113,6 @@
         self.log_failed_at.is_some_and(|at| now < at.plus_millis(LOG_FAILURE_MS))
     }
 
-    fn oldest_failed_read(&self) -> Option<Timestamp> {
-        let failed_at = |(id, report): (&InstanceId, &Report)| match report {
-            _ if *id == self.own => self.log_failed_at,
-            Report::LogDown { until } => Some(until.minus_millis(FRESH_MS)),
-            Report::Silent | Report::LogUp => None,
-        };
-        self.readers.iter().filter_map(failed_at).min()
-    }
-
     /// Returns whether the log is down for everybody: every reader of every zone says so and none is silent.
     pub fn outage(&self, now: Timestamp) -> bool {
         let down = |(id, report): (&InstanceId, &Report)| match report {
@@ -126,4 +123,14 @@
         };
         !self.readers.is_empty() && self.readers.iter().all(down)
     }
+
+    /// Returns until when the oldest failed read counts as a proof.
+    fn outage_until(&self) -> Option<Timestamp> {
+        let until = |(id, report): (&InstanceId, &Report)| match report {
+            _ if *id == self.own => self.log_failed_at.map(|at| at.plus_millis(FRESH_MS)),
+            Report::LogDown { until } => Some(*until),
+            Report::Silent | Report::LogUp => None,
+        };
+        self.readers.iter().filter_map(until).min()
+    }
 }
--- a/crates/fuchsiabay-config/tests/freshness.rs
+++ b/crates/fuchsiabay-config/tests/freshness.rs
@@ -38,6 +38,9 @@
     never_proved_is_stale: [], 0 => false;
     fresh_within_the_window: [Proved(10_000, 500)], 15_499 => true;
     stale_at_the_deadline: [Proved(10_000, 500)], 15_500 => false;
+    // A neighbour without a proof states the greatest age; right after the start of the clock this must not count.
+    no_proof_at_the_start_of_the_clock: [Proved(10, u64::MAX)], 20 => false;
+    proof_before_the_start_of_the_clock: [Proved(10, 500)], 5_509 => true;
     older_proof_changes_nothing: [Proved(10_000, 0), Proved(11_000, 5_000)], 15_999 => true;
     // During an outage for everybody nothing can be accepted.
     outage_of_all_keeps_serving: [Proved(1, 0), LogFailed(90_000), Down("b", 90_000)], 91_000 => true;
@@ -49,6 +52,18 @@
     own_failure_expires: [LogFailed(90_000), Down("b", 91_000)], 92_000 => false;
 }
 
+// A neighbour that trusts the age must not serve longer than this process.
+#[test]
+fn outage_is_relayed_as_an_age() {
+    let mut freshness = Freshness::new(InstanceId::from("c"));
+    let reader = (InstanceId::from("a"), ZoneName::from("z1"));
+    freshness.set_readers(&Readers::choose([(&reader.0, &reader.1)]));
+    freshness.proved(Timestamp::from_millis(10_000), 0);
+    freshness.reader_answered(&reader.0, Timestamp::from_millis(90_000), true);
+    assert_eq!(freshness.age_ms(Timestamp::from_millis(91_000)), Some(3_000));
+    assert_eq!(freshness.age_ms(Timestamp::from_millis(95_000)), Some(85_000));
+}
+
 // Processes that disagree about the readers would ask instances that know nothing.
 #[test]
 fn readers_do_not_depend_on_the_order_of_the_list() {
