Add a client of the operators' HTTP and the log retention of an entry

The command needs the readiness and the dump of each instance, and a response of status 503 is an answer there and not a failure.

--- a/crates/fuchsiabay-runtime/src/lib.rs
+++ b/crates/fuchsiabay-runtime/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod logging;
 pub mod metrics_export;
 mod ops;
+mod ops_client;
 mod peer;
 mod platform_http;
 mod shutdown;
@@ -22,6 +23,7 @@
 pub use log_client::{LogClient, LogError};
 pub use log_page::{LogPage, LogRecord};
 pub use ops::{OpsServer, OpsSource};
+pub use ops_client::{OpsClient, OpsError};
 pub use peer::{
     AttemptEvent, AttemptStream, CallError, ConnectError, Identity, Peer, PeerClosed, PeerListener,
     PeerService,
--- a/crates/fuchsiabay-runtime/src/ops.rs
+++ b/crates/fuchsiabay-runtime/src/ops.rs
@@ -12,7 +12,10 @@
 
 /// What a daemon shows its operators.
 pub trait OpsSource: Send + Sync + 'static {
-    /// Returns the full dump of the process's state.
+    /// Returns the full dump of the process's state, an object.
+    ///
+    /// Its field `config` holds the dump of the configuration follower, from which `fuchsiabay status` reads
+    /// `version` and `preset`.
     fn state(&self) -> Value;
 
     /// Returns whether the process takes new work, or else why not.
--- a/crates/fuchsiabay-runtime/src/platform_http.rs
+++ b/crates/fuchsiabay-runtime/src/platform_http.rs
@@ -31,6 +31,28 @@
     Unknown(String),
 }
 
+/// A whole response.
+#[derive(Debug)]
+pub(crate) struct Response {
+    pub(crate) status: Status,
+    pub(crate) body: String,
+}
+
+impl Response {
+    /// Returns the body of a successful response.
+    fn success(self) -> Result<String, ExchangeError> {
+        let Self { status, body } = self;
+        if status.is_success() {
+            return Ok(body);
+        }
+        // A server error may be reported after the effect, so only a client error proves that there was none.
+        if status.is_client_error() && status != Status::RequestTimeout {
+            return Err(ExchangeError::Refused(status as u16, excerpt(&body)));
+        }
+        Err(ExchangeError::Unknown(format!("failed with status {}: {}", status as u16, excerpt(&body))))
+    }
+}
+
 /// A service of the platform.
 #[derive(Clone, Debug)]
 pub(crate) struct PlatformHttp {
@@ -48,6 +70,11 @@
 
     /// Reads `path`.
     pub(crate) async fn get(&self, path: &str, deadline: Timestamp) -> Result<String, ExchangeError> {
+        self.fetch(path, deadline).await?.success()
+    }
+
+    /// Reads `path` whatever the status of the response.
+    pub(crate) async fn fetch(&self, path: &str, deadline: Timestamp) -> Result<Response, ExchangeError> {
         let conn = self.client.get(format!("{}{path}", self.base));
         exchange(conn, deadline).await
     }
@@ -64,12 +91,12 @@
             .post(format!("{}{path}", self.base))
             .with_request_header(KnownHeaderName::ContentType, "application/json")
             .with_body(body);
-        exchange(conn, deadline).await
+        exchange(conn, deadline).await?.success()
     }
 }
 
 /// Sends the request and reads the whole response, giving up at `deadline`.
-async fn exchange(conn: Conn, deadline: Timestamp) -> Result<String, ExchangeError> {
+async fn exchange(conn: Conn, deadline: Timestamp) -> Result<Response, ExchangeError> {
     if monotonic_now() >= deadline {
         return Err(ExchangeError::NotSent("the deadline had passed before the request was sent".into()));
     }
@@ -80,9 +107,11 @@
     future::or(send(conn), timed_out).await
 }
 
-async fn send(mut conn: Conn) -> Result<String, ExchangeError> {
+async fn send(mut conn: Conn) -> Result<Response, ExchangeError> {
     (&mut conn).await.map_err(classify)?;
-    let status = conn.status();
+    let Some(status) = conn.status() else {
+        return Err(ExchangeError::Unknown("a response without a status".into()));
+    };
     let body = conn
         .response_body()
         .with_max_len(MAX_RESPONSE_BYTES)
@@ -90,17 +119,7 @@
         .await
         .map_err(|error| ExchangeError::Unknown(error.to_string()))?;
     conn.recycle().await;
-    match status {
-        Some(status) if status.is_success() => Ok(body),
-        // A server error may be reported after the effect, so only a client error proves that there was none.
-        Some(status) if status.is_client_error() && status != Status::RequestTimeout => {
-            Err(ExchangeError::Refused(status as u16, excerpt(&body)))
-        }
-        Some(status) => {
-            Err(ExchangeError::Unknown(format!("failed with status {}: {}", status as u16, excerpt(&body))))
-        }
-        None => Err(ExchangeError::Unknown("a response without a status".into())),
-    }
+    Ok(Response { status, body })
 }
 
 /// A refused connection and an unusable address prove that no byte of the request was written. Every other
--- a/crates/fuchsiabay-runtime/tests/ops.rs
+++ b/crates/fuchsiabay-runtime/tests/ops.rs
@@ -3,7 +3,7 @@
 use std::{io, sync::Arc};
 
 use async_signal::Signal;
-use fuchsiabay_runtime::{OpsServer, OpsSource, ShutdownOrder, ShutdownSignals};
+use fuchsiabay_runtime::{OpsClient, OpsServer, OpsSource, ShutdownOrder, ShutdownSignals, monotonic_now};
 use futures_lite::stream;
 use serde_json::{Value, json};
 use trillium_client::Client;
@@ -51,6 +51,18 @@
     serves_nothing_else: "/" => 404, "";
 }
 
+// `fuchsiabay status` would report a draining instance as unreachable.
+#[test]
+fn client_reads_the_dump_and_the_readiness() {
+    smol::block_on(async {
+        let server = OpsServer::start("127.0.0.1:0".parse().unwrap(), Arc::new(Draining)).await.unwrap();
+        let client = OpsClient::new(server.local_addr());
+        let deadline = monotonic_now().plus_millis(60_000);
+        assert_eq!(client.state(deadline).await.unwrap(), json!({"draining": true}));
+        assert_eq!(client.readiness(deadline).await.unwrap(), Err("draining".into()));
+    });
+}
+
 // A first signal that stopped at once would cut off requests in flight.
 #[test]
 fn drains_first_and_then_stops() {
--- a/crates/fuchsiabay-settings/src/entry.rs
+++ b/crates/fuchsiabay-settings/src/entry.rs
@@ -29,6 +29,9 @@
     pub ops_listen: SocketAddr,
     /// The address of the log.
     pub log_url: String,
+    /// The time for which the log retains its records. Snapshots of the configuration are repeated within it.
+    #[serde(default = "default_log_retention_ms")]
+    pub log_retention_ms: u64,
     /// The address of the instance list.
     pub list_url: String,
     /// The key that all processes of the installation share.
@@ -50,6 +53,11 @@
     2
 }
 
+/// The retention that the claims of an agent assume by default, too.
+const fn default_log_retention_ms() -> u64 {
+    3_600_000
+}
+
 impl EntrySettings {
     /// Loads and checks the settings in the file `path`.
     pub fn load(path: impl AsRef<Path>) -> Result<Self, LoadError> {
@@ -67,6 +75,8 @@
         problems.name(self.zone.as_str(), "zone");
         problems.name(&self.region, "region");
         problems.url(&self.log_url, "log_url");
+        // A snapshot is repeated four times per retention, and each read and append takes seconds.
+        problems.range(self.log_retention_ms, 60_000..=31_536_000_000, "log_retention_ms", "ms");
         problems.url(&self.list_url, "list_url");
         problems.range(self.threads, 1..=256, "threads", "threads");
         self.limits.check(&mut problems);
