Add the operator's command

The desk does two things: it switches presets and it publishes configuration. The command checks files, publishes a document, lists and switches presets, shows which version is in force where, and prints the state of an instance.

A change counts as accepted only after the command has read it back and reduced it. A lost answer of the log is settled by the publish id, or by another change that took the base. The document or preset in force is not proposed again, so that a command whose effect is unknown may be repeated. Exit codes tell done, refused, conflict and unavailable apart.

--- /dev/null
+++ b/crates/fuchsiabay/src/check.rs
@@ -0,0 +1,106 @@
+//! `fuchsiabay check`.
+
+use std::path::{Path, PathBuf};
+
+use fuchsiabay_config::Document;
+use fuchsiabay_settings::{AgentSettings, CommandSettings, EntrySettings, Fault, LoadError};
+use serde_json::{Value, json};
+
+use crate::{Exit, Report};
+
+/// What a file holds.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Kind {
+    Entry,
+    Agent,
+    Command,
+    Configuration,
+}
+
+impl Kind {
+    const fn as_str(self) -> &'static str {
+        match self {
+            Self::Entry => "settings of an entry instance",
+            Self::Agent => "settings of an agent",
+            Self::Command => "settings of this command",
+            Self::Configuration => "a configuration document",
+        }
+    }
+
+    /// Tells the kind by a field that no other kind has, so that a faulty file still gets the fitting message.
+    fn of(value: &Value) -> Option<Self> {
+        let has = |field| value.get(field).is_some();
+        if has("presets") || has("services") || has("workspaces") {
+            Some(Self::Configuration)
+        } else if has("backend") || has("claims") {
+            Some(Self::Agent)
+        } else if has("listen") || has("limits") || has("instance") {
+            Some(Self::Entry)
+        } else if has("log_url") || has("ops") {
+            Some(Self::Command)
+        } else {
+            None
+        }
+    }
+}
+
+/// Checks each of `files`.
+pub(crate) fn check(files: &[PathBuf]) -> Report {
+    let results: Vec<_> = files.iter().map(|file| (file.clone(), check_file(file))).collect();
+    report(&results)
+}
+
+/// Loads a configuration document.
+pub(crate) fn load_document(file: &Path) -> Result<Document, LoadError> {
+    fuchsiabay_settings::load(file, problems)
+}
+
+/// Returns the report on `results`.
+pub(crate) fn report(results: &[(PathBuf, Result<Kind, LoadError>)]) -> Report {
+    let exit = if results.iter().all(|(_, result)| result.is_ok()) { Exit::Done } else { Exit::Invalid };
+    let lines: Vec<_> = results
+        .iter()
+        .map(|(file, result)| match result {
+            Ok(kind) => format!("{}: {}, no faults", file.display(), kind.as_str()),
+            Err(error) => error.to_string(),
+        })
+        .collect();
+    let json = results.iter().map(|(file, result)| file_json(file, result)).collect();
+    Report::new(exit, lines.join("\n"), Value::Array(json))
+}
+
+fn check_file(file: &Path) -> Result<Kind, LoadError> {
+    let name = file.display().to_string();
+    let text = std::fs::read(file).map_err(|error| LoadError::Unreadable { file: name.clone(), error })?;
+    let value: Value = fuchsiabay_settings::parse(&name, &text, |_| Vec::new())?;
+    let Some(kind) = Kind::of(&value) else {
+        let message = "allowed: settings of an entry instance, of an agent or of this command, or a \
+                       configuration document"
+            .to_owned();
+        return Err(LoadError::Invalid(vec![Fault { file: name, line: 1, field: String::new(), message }]));
+    };
+    match kind {
+        Kind::Entry => EntrySettings::parse(&name, &text).map(drop),
+        Kind::Agent => AgentSettings::parse(&name, &text).map(drop),
+        Kind::Command => CommandSettings::parse(&name, &text).map(drop),
+        Kind::Configuration => fuchsiabay_settings::parse(&name, &text, problems).map(drop),
+    }?;
+    Ok(kind)
+}
+
+fn problems(document: &Document) -> Vec<(String, String)> {
+    document.problems().into_iter().map(|problem| (problem.field, problem.allowed)).collect()
+}
+
+fn file_json(file: &Path, result: &Result<Kind, LoadError>) -> Value {
+    let file = file.display().to_string();
+    match result {
+        Ok(kind) => json!({"file": file, "kind": kind.as_str(), "faults": []}),
+        Err(LoadError::Unreadable { error, .. }) => json!({"file": file, "error": error.to_string()}),
+        Err(error) => {
+            let fault =
+                |fault: &Fault| json!({"line": fault.line, "field": fault.field, "message": fault.message});
+            json!({"file": file, "faults": error.faults().iter().map(fault).collect::<Vec<_>>()})
+        }
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay/src/config_view.rs
@@ -0,0 +1,85 @@
+//! The configuration as the log has it.
+
+use std::sync::Arc;
+
+use fuchsiabay_config::{ConfigRecord, ConfigReducer, InForce, PublishTracker};
+use fuchsiabay_runtime::LogError;
+use serde::Deserialize;
+use serde_json::{Value, json};
+
+use crate::{Exit, Report, config_log::ConfigLog};
+
+/// Why the configuration could not be read.
+#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+pub(crate) enum ViewError {
+    /// The log did not answer.
+    #[error("{0}")]
+    Log(#[from] LogError),
+    /// Retention dropped records that no snapshot replaces.
+    #[error("log: retention dropped the configuration and no snapshot replaces it")]
+    NoBase,
+}
+
+impl ViewError {
+    /// Returns the report of a command that needed the configuration and changed nothing.
+    pub(crate) fn report(&self) -> Report {
+        let json =
+            json!({"result": "unavailable", "may_have_taken_effect": false, "message": self.to_string()});
+        Report::new(Exit::Unavailable, self.to_string(), json)
+    }
+}
+
+/// The configuration, reduced up to the end of the log.
+#[derive(Debug, Default)]
+pub(crate) struct ConfigView {
+    reducer: ConfigReducer,
+}
+
+impl ConfigView {
+    /// Reads the whole stream.
+    pub(crate) async fn load(log: &impl ConfigLog) -> Result<Self, ViewError> {
+        let mut view = Self::default();
+        view.catch_up(log, None).await?;
+        if view.reducer.reduced_version().is_none() {
+            return Err(ViewError::NoBase);
+        }
+        Ok(view)
+    }
+
+    /// Reads on up to the end of the stream and shows each record to `tracker`.
+    pub(crate) async fn catch_up(
+        &mut self,
+        log: &impl ConfigLog,
+        mut tracker: Option<&mut PublishTracker>,
+    ) -> Result<(), LogError> {
+        loop {
+            let page = log.read(self.reducer.next_offset().unwrap_or(0)).await?;
+            self.reducer.begin(page.first);
+            if page.records.is_empty() {
+                return Ok(());
+            }
+            for record in &page.records {
+                let applied = self.reducer.apply_raw(record.offset, record.at, &record.data);
+                if let Some(tracker) = tracker.as_deref_mut()
+                    && let Some(record) = parse(&record.data)
+                {
+                    tracker.observe(&record, &applied);
+                }
+            }
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn in_force(&self) -> Option<&Arc<InForce>> {
+        self.reducer.in_force()
+    }
+
+    /// Returns the version in force, or zero.
+    pub(crate) fn version(&self) -> u64 {
+        self.reducer.version()
+    }
+}
+
+fn parse(data: &Value) -> Option<ConfigRecord> {
+    ConfigRecord::deserialize(data).ok()
+}
--- /dev/null
+++ b/crates/fuchsiabay/src/exit.rs
@@ -0,0 +1,34 @@
+//! Exit codes of the command.
+
+use std::process::ExitCode;
+
+/// How a command ended. Scripts of the desk branch on the code.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Exit {
+    /// 0: done.
+    Done,
+    /// 2: the input is not valid, or the change was refused for its content.
+    Invalid,
+    /// 3: another change was accepted first.
+    Conflict,
+    /// 4: the platform or an instance did not answer, or the version is not in force everywhere.
+    Unavailable,
+}
+
+impl Exit {
+    /// Returns the exit code.
+    pub const fn code(self) -> u8 {
+        match self {
+            Self::Done => 0,
+            Self::Invalid => 2,
+            Self::Conflict => 3,
+            Self::Unavailable => 4,
+        }
+    }
+}
+
+impl From<Exit> for ExitCode {
+    fn from(exit: Exit) -> Self {
+        Self::from(exit.code())
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay/src/run.rs
@@ -0,0 +1,66 @@
+//! Runs a command.
+
+use fuchsiabay_config::PublishId;
+use fuchsiabay_settings::CommandSettings;
+use serde_json::json;
+use uuid::Uuid;
+
+use crate::{
+    Command, Connection, Exit, Options, PresetCommand, Report, check, dump, log_stream::LogStream, preset,
+    publish, status,
+};
+
+/// Runs the command of `options`.
+pub async fn run(options: Options) -> Report {
+    match options.command {
+        Command::Check { files } => check::check(&files),
+        Command::Dump { timeout_ms, address } => dump::dump(address, timeout_ms).await,
+        Command::Publish { connection, based_on, file } => match connect(&connection) {
+            Ok((_, log)) => publish::publish_file(&log, publish_id(), based_on, &file).await,
+            Err(report) => report,
+        },
+        Command::Preset(PresetCommand::List { connection }) => match connect(&connection) {
+            Ok((_, log)) => preset::list(&log).await,
+            Err(report) => report,
+        },
+        Command::Preset(PresetCommand::Switch { connection, name }) => match connect(&connection) {
+            Ok((_, log)) => preset::switch(&log, publish_id(), &name).await,
+            Err(report) => report,
+        },
+        Command::Status { connection } => match connect(&connection) {
+            Ok((settings, log)) => status::status(&log, &settings, connection.timeout_ms).await,
+            Err(report) => report,
+        },
+    }
+}
+
+/// Random, so that a lost answer is settled without mistaking another's publish for one's own.
+fn publish_id() -> PublishId {
+    PublishId::new(Uuid::now_v7().to_string())
+}
+
+fn connect(connection: &Connection) -> Result<(CommandSettings, LogStream), Report> {
+    let settings = settings(connection).map_err(|message| {
+        let json = json!({"result": "refused", "message": message});
+        Report::new(Exit::Invalid, message, json)
+    })?;
+    let log = LogStream::new(&settings.log_url, connection.timeout_ms);
+    Ok((settings, log))
+}
+
+fn settings(connection: &Connection) -> Result<CommandSettings, String> {
+    let mut settings = match (&connection.settings, &connection.log_url) {
+        (Some(file), _) => CommandSettings::load(file).map_err(|error| error.to_string())?,
+        (None, Some(url)) => CommandSettings::new(url, None),
+        (None, None) => {
+            return Err("the address of the log is required; state --log-url or --settings".into());
+        }
+    };
+    if let Some(url) = &connection.log_url {
+        settings.log_url.clone_from(url);
+    }
+    if let Some(url) = &connection.list_url {
+        settings.list_url = Some(url.clone());
+    }
+    Ok(settings)
+}
