Put standard and foreign derives of settings and command on lines of their own

The check of the house style found them mixed in the settings, the command and the operators' client. Sixteen lines were split; nothing else changed.

--- a/crates/fuchsiabay-runtime/src/ops_client.rs
+++ b/crates/fuchsiabay-runtime/src/ops_client.rs
@@ -9,7 +9,8 @@
 use crate::platform_http::PlatformHttp;
 
 /// Why a daemon could not be asked.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 #[error("{0}")]
 pub struct OpsError(String);
 
--- a/crates/fuchsiabay-settings/src/agent.rs
+++ b/crates/fuchsiabay-settings/src/agent.rs
@@ -12,7 +12,8 @@
 };
 
 /// The settings of the agent beside a backend server.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct AgentSettings {
     /// The name of the instance, as the instance list has it.
--- a/crates/fuchsiabay-settings/src/backend.rs
+++ b/crates/fuchsiabay-settings/src/backend.rs
@@ -6,7 +6,8 @@
 use crate::problems::Problems;
 
 /// What a backend server is.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum BackendKind {
     /// A model engine.
@@ -16,7 +17,8 @@
 }
 
 /// The place of a backend server in a group of ranks that run in lockstep.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct GroupSettings {
     /// The group, which also names its log stream.
@@ -26,7 +28,8 @@
 }
 
 /// The backend server beside an agent.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct BackendSettings {
     /// What it is.
--- a/crates/fuchsiabay-settings/src/claims.rs
+++ b/crates/fuchsiabay-settings/src/claims.rs
@@ -9,7 +9,8 @@
 const RETENTION_MARGIN_MS: u64 = 60_000;
 
 /// How long an idempotency key can claim its call.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct ClaimSettings {
     /// The time after the issue of a key within which a claim is valid.
--- a/crates/fuchsiabay-settings/src/command.rs
+++ b/crates/fuchsiabay-settings/src/command.rs
@@ -8,7 +8,8 @@
 use crate::{LoadError, problems::Problems, reader};
 
 /// The settings of the operator's command.
-#[derive(Clone, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct CommandSettings {
     /// The address of the log.
--- a/crates/fuchsiabay-settings/src/entry.rs
+++ b/crates/fuchsiabay-settings/src/entry.rs
@@ -9,7 +9,8 @@
 use crate::{Limits, LoadError, LogSettings, key_text, problems::Problems, reader};
 
 /// The settings of an entry instance.
-#[derive(Clone, Debug, Deserialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct EntrySettings {
     /// The name of the instance, as the instance list has it.
--- a/crates/fuchsiabay-settings/src/fault.rs
+++ b/crates/fuchsiabay-settings/src/fault.rs
@@ -3,7 +3,8 @@
 use std::fmt;
 
 /// A fault of one field.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub struct Fault {
     /// The file, as it was named to the reader.
     pub file: String,
@@ -26,7 +27,8 @@
 }
 
 /// Why settings could not be loaded.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum LoadError {
     /// The file could not be read.
     #[error("{file}: {error}")]
--- a/crates/fuchsiabay-settings/src/limits.rs
+++ b/crates/fuchsiabay-settings/src/limits.rs
@@ -5,7 +5,8 @@
 use crate::problems::Problems;
 
 /// Limits that protect an entry instance from its callers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct Limits {
     /// The size of a request head.
--- a/crates/fuchsiabay-settings/src/log_settings.rs
+++ b/crates/fuchsiabay-settings/src/log_settings.rs
@@ -3,7 +3,8 @@
 use serde::Deserialize;
 
 /// The least severe records that are written.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum LogLevel {
     /// Errors only.
@@ -33,7 +34,8 @@
 }
 
 /// How records are written.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
+#[derive(Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum LogFormat {
     /// Lines of text.
@@ -44,7 +46,8 @@
 }
 
 /// What the process logs to standard error.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Deserialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Deserialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LogSettings {
     /// The least severe records that are written.
--- a/crates/fuchsiabay/src/config_view.rs
+++ b/crates/fuchsiabay/src/config_view.rs
@@ -10,7 +10,8 @@
 use crate::{Exit, Report, config_log::ConfigLog};
 
 /// Why the configuration could not be read.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub(crate) enum ViewError {
     /// The log did not answer.
     #[error("{0}")]
--- a/crates/fuchsiabay/src/status.rs
+++ b/crates/fuchsiabay/src/status.rs
@@ -21,7 +21,8 @@
 const ASK_TIMEOUT_MS: u64 = 2_000;
 
 /// What one instance says.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 pub(crate) struct Row {
     pub(crate) instance: Instance,
     /// The version that it serves under.
