--- a/crates/fuchsiabay-runtime/src/log_client.rs
+++ b/crates/fuchsiabay-runtime/src/log_client.rs
@@ -13,7 +13,7 @@
 #[derive(thiserror::Error)]
 pub enum LogError {
     /// Nothing was appended and nothing will be.
-    #[error("log: {0}; nothing was appended")]
+    #[error("log: {0}")]
     NoEffect(String),
     /// The records may have been appended, or may yet be.
     #[error("log: {0}; the records may have been appended")]
--- a/crates/fuchsiabay-settings/src/command.rs
+++ b/crates/fuchsiabay-settings/src/command.rs
@@ -52,6 +52,16 @@
         reader::parse(file, text, Self::problems)
     }
 
+    /// Checks settings that were put together from arguments. The error names each argument that is at fault.
+    pub fn validate(&self) -> Result<(), String> {
+        let problems = self.problems();
+        if problems.is_empty() {
+            return Ok(());
+        }
+        let lines: Vec<_> = problems.iter().map(|(field, allowed)| format!("{field}: {allowed}")).collect();
+        Err(lines.join("\n"))
+    }
+
     /// Returns the operators' address of the instance `id` with the peer address `peer`, or None when the
     /// offset leads to no port.
     pub fn ops_addr(&self, id: &InstanceId, peer: SocketAddr) -> Option<SocketAddr> {
--- a/crates/fuchsiabay/src/run.rs
+++ b/crates/fuchsiabay/src/run.rs
@@ -62,5 +62,6 @@
     if let Some(url) = &connection.list_url {
         settings.list_url = Some(url.clone());
     }
+    settings.validate()?;
     Ok(settings)
 }
