--- a/crates/fuchsiabay/src/status.rs
+++ b/crates/fuchsiabay/src/status.rs
@@ -123,13 +123,15 @@
     let live = || rows.iter().filter(|row| row.instance.state == InstanceState::Live);
     let behind = live().filter(|row| row.version != Some(version)).count();
     let not_ready = live().filter(|row| row.unreachable.is_none() && row.not_ready.is_some()).count();
-    let everywhere = behind == 0 && log_trouble.is_none() && version > 0;
+    // An empty list may lag, so that it proves nothing.
+    let everywhere = behind == 0 && live().count() > 0 && log_trouble.is_none() && version > 0;
 
     let mut lines = vec![headline(version, preset.as_deref())];
     lines.extend(log_trouble.iter().map(|trouble| format!("{trouble}; versions are those of the instances")));
     lines.push(table(&rows));
     lines.push(match (everywhere, behind) {
         (true, _) => format!("in force everywhere ({} instances)", live().count()),
+        (false, 0) if live().count() == 0 => "the list has no live instance".into(),
         (false, 0) => "not proved to be in force everywhere".into(),
         (false, _) => format!("not in force everywhere: {behind} of {} instances", live().count()),
     });
--- a/crates/fuchsiabay/src/tests.rs
+++ b/crates/fuchsiabay/src/tests.rs
@@ -290,6 +290,8 @@
         => Unavailable, "not in force everywhere: 1 of 2 instances";
     counts_the_unreachable: Ok(3), [row("a", None, false, false)]
         => Unavailable, "not in force everywhere: 1 of 1 instances";
+    proves_nothing_with_an_empty_list: Ok(3), [row("a", Some(3), true, false)]
+        => Unavailable, "the list has no live instance";
     proves_nothing_without_the_log: Err("down"), [row("a", Some(3), false, false)]
         => Unavailable, "not proved to be in force everywhere";
     counts_those_not_ready: Ok(3), [row("a", Some(3), false, true)] => Done, "not ready: 1 instances";
