--- a/crates/fuchsiabay/src/check.rs
+++ b/crates/fuchsiabay/src/check.rs
@@ -88,7 +88,8 @@
     Ok(kind)
 }
 
-fn problems(document: &Document) -> Vec<(String, String)> {
+/// Returns the problems of `document` as the reader of settings takes them.
+pub(crate) fn problems(document: &Document) -> Vec<(String, String)> {
     document.problems().into_iter().map(|problem| (problem.field, problem.allowed)).collect()
 }
 
--- a/crates/fuchsiabay/src/tests.rs
+++ b/crates/fuchsiabay/src/tests.rs
@@ -9,6 +9,7 @@
 use fuchsiabay_base::Timestamp;
 use fuchsiabay_config::{ConfigRecord, Document, PublishId};
 use fuchsiabay_runtime::{Instance, InstanceState, LogError, LogPage, LogRecord};
+use quickcheck::{Arbitrary, Gen};
 use serde_json::{Value, json};
 
 use crate::{
@@ -251,6 +252,23 @@
     assert_eq!(report.text, expected);
 }
 
+// A document comes from a hand, so any of its bytes may be wrong; the command must name the fault and not crash.
+#[test]
+fn damaged_documents_give_a_document_or_a_fault() {
+    const CASES: usize = 2_000;
+    let text = std::fs::read(example("dakar/configuration.jsonc")).unwrap();
+    let mut g = Gen::from_size_and_seed(64, 1);
+    for _ in 0..CASES {
+        let start = usize::arbitrary(&mut g) % text.len();
+        let end = (start + usize::arbitrary(&mut g) % 8).min(text.len());
+        let mut damaged = text.clone();
+        damaged.splice(start..end, Vec::<u8>::arbitrary(&mut g).into_iter().take(4));
+        if let Err(error) = fuchsiabay_settings::parse::<Document>("f", &damaged, check::problems) {
+            assert!(error.to_string().starts_with("f:"), "{error}");
+        }
+    }
+}
+
 fn row(id: &str, version: Option<u64>, leaving: bool, not_ready: bool) -> Row {
     let state = if leaving { InstanceState::Leaving } else { InstanceState::Live };
     let instance: Instance = serde_json::from_value(json!({
