Add the agent daemon

The agent serves submit, cancel and load to entry instances, schedules attempts, relays the engine's tokens in frames, claims calls that are not idempotent over the log, watches its backend server and the instance list, keeps the engine on the orders of the log, and drains on a signal. A call whose key is known is answered from its claim before anything can refuse it, because a caller that asks again must not hear not-run while its first call may have run.

--- a/crates/fuchsiabay-admission/src/scheduler/queries.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/queries.rs
@@ -18,6 +18,11 @@
         self.waiting.is_empty() && self.running.is_empty()
     }
 
+    /// Returns whether the job is in flight.
+    pub fn is_running(&self, id: JobId) -> bool {
+        self.running.contains_key(&id)
+    }
+
     /// Returns the jobs in flight.
     pub fn running(&self) -> impl Iterator<Item = JobId> + '_ {
         self.running.keys().copied()
--- /dev/null
+++ b/crates/fuchsiabay-agent/src/attempts.rs
@@ -0,0 +1,48 @@
+//! The attempts of one agent, in shards.
+
+use std::{collections::HashMap, sync::Arc};
+
+use fuchsiabay_admission::JobId;
+use parking_lot::Mutex;
+
+use crate::attempt::Attempt;
+
+/// The number of shards. Attempts are looked up by several threads, and eight keep them from waiting for each other.
+const SHARDS: usize = 8;
+
+/// The attempts that have not ended.
+#[derive(Debug, Default)]
+pub(crate) struct Attempts {
+    shards: [Mutex<HashMap<JobId, Arc<Attempt>>>; SHARDS],
+}
+
+impl Attempts {
+    pub(crate) fn insert(&self, attempt: Arc<Attempt>) {
+        self.shard(attempt.job).lock().insert(attempt.job, attempt);
+    }
+
+    /// Takes an attempt out. Only the one who gets it may send its end.
+    pub(crate) fn remove(&self, job: JobId) -> Option<Arc<Attempt>> {
+        self.shard(job).lock().remove(&job)
+    }
+
+    pub(crate) fn find(&self, job: JobId) -> Option<Arc<Attempt>> {
+        self.shard(job).lock().get(&job).cloned()
+    }
+
+    pub(crate) fn len(&self) -> usize {
+        self.shards.iter().map(|shard| shard.lock().len()).sum()
+    }
+
+    /// Returns the attempts by job, for dumps.
+    pub(crate) fn all(&self) -> Vec<Arc<Attempt>> {
+        let mut all: Vec<_> =
+            self.shards.iter().flat_map(|shard| shard.lock().values().cloned().collect::<Vec<_>>()).collect();
+        all.sort_by_key(|attempt| attempt.job);
+        all
+    }
+
+    fn shard(&self, job: JobId) -> &Mutex<HashMap<JobId, Arc<Attempt>>> {
+        &self.shards[job.0 as usize % SHARDS]
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-agent/src/backend/mod.rs
@@ -0,0 +1,8 @@
+//! Client of the backend server.
+
+mod client;
+mod line_parser;
+mod token_stream;
+
+pub(crate) use client::{BackendClient, BackendFailure, GenerateCall, PlainCall};
+pub(crate) use token_stream::{StreamItem, TokenStream};
--- /dev/null
+++ b/crates/fuchsiabay-agent/src/claims.rs
@@ -0,0 +1,248 @@
+//! Connects the claimer to the log and to the attempts.
+
+use std::sync::Arc;
+
+use fuchsiabay_admission::JobId;
+use fuchsiabay_base::{Timestamp, Verdict, WriterId};
+use fuchsiabay_claims::{
+    Answer, BatchId, CallId, ClaimError, ClaimKey, ClaimRecord, Claimer, ClaimerStatus, Command, Finished,
+    Logged, Submission,
+};
+use fuchsiabay_runtime::{LogError, monotonic_now, sleep_until, spawn, unix_now};
+use fuchsiabay_wire::{AttemptError, PlainResponse, RefusalReason};
+use futures_lite::future;
+use parking_lot::Mutex;
+use serde_json::Value;
+
+use crate::{
+    Agent, AgentParams, ConfigView,
+    agent::{Ending, Wake},
+    attempt::Attempt,
+};
+
+const STREAM: &str = "claims";
+
+/// Records of one read.
+const PAGE_RECORDS: usize = 1_000;
+
+/// The time that the log has for a read or an append, in milliseconds. A call waits no longer for its claim.
+const LOG_TIMEOUT_MS: u64 = 2_000;
+
+/// The interval of reads while nobody waits, in milliseconds. It bounds how long a duplicate that another agent ran
+/// looks new; the claim itself is safe by the order of the log.
+const IDLE_POLL_MS: u64 = 250;
+
+/// The interval of reads while a call waits for a record, in milliseconds.
+const BUSY_POLL_MS: u64 = 10;
+
+/// The claims of one agent.
+pub(crate) struct Claims {
+    claimer: Mutex<Claimer>,
+    timer: Wake,
+    reader: Wake,
+}
+
+impl Claims {
+    pub(crate) fn new(params: &AgentParams) -> Self {
+        let identity = &params.identity;
+        let writer = WriterId { instance: identity.instance.clone(), generation: identity.generation };
+        Self {
+            claimer: Mutex::new(Claimer::new(writer, params.claims)),
+            timer: Wake::new(),
+            reader: Wake::new(),
+        }
+    }
+
+    /// Returns whether the key of the attempt is held, so that the call is answered from its claim.
+    pub(crate) fn holds_key(&self, attempt: &Attempt) -> bool {
+        claim_key(attempt).is_some_and(|key| self.claimer.lock().ledger().held(&key).is_some())
+    }
+
+    /// Returns why a call that needs a claim is refused at once.
+    pub(crate) fn check(&self, attempt: &Attempt) -> Result<(), RefusalReason> {
+        let Some(key) = claim_key(attempt) else {
+            return Ok(());
+        };
+        let claimer = self.claimer.lock();
+        if claimer.status().log_down {
+            return Err(RefusalReason::LogUnavailable);
+        }
+        claimer.ledger().check_key(&key, unix_now()).map_err(|_| RefusalReason::KeyOutsideWindow)
+    }
+
+    pub(crate) fn is_idle(&self) -> bool {
+        self.claimer.lock().is_idle()
+    }
+
+    pub(crate) fn status(&self) -> ClaimerStatus {
+        self.claimer.lock().status()
+    }
+}
+
+impl<C: ConfigView> Agent<C> {
+    /// Claims the key of the attempt. The call is dispatched or answered by the claimer.
+    pub(crate) fn claim(self: &Arc<Self>, attempt: &Arc<Attempt>) {
+        let Some(key) = claim_key(attempt) else {
+            return;
+        };
+        let now = unix_now();
+        let submission = Submission {
+            call: CallId(attempt.job.0),
+            key,
+            fingerprint: attempt.req.fingerprint,
+            deadline: now.plus_millis(attempt.deadline.millis_since(monotonic_now())),
+        };
+        self.with_claimer(|claimer, now| claimer.submit(now, submission));
+    }
+
+    /// Gives up the claim of an attempt that was not dispatched.
+    pub(crate) fn cancel_claim(self: &Arc<Self>, job: JobId, error: ClaimError) -> Verdict {
+        self.with_claimer(|claimer, now| claimer.cancel(now, CallId(job.0), error))
+    }
+
+    /// Reports how a dispatched call ended.
+    pub(crate) fn dispatch_finished(self: &Arc<Self>, job: JobId, finished: Finished) {
+        self.with_claimer(|claimer, now| claimer.dispatch_finished(now, CallId(job.0), finished));
+    }
+
+    fn with_claimer<R>(self: &Arc<Self>, f: impl FnOnce(&mut Claimer, Timestamp) -> R) -> R {
+        let (result, commands) = {
+            let mut claimer = self.claims.claimer.lock();
+            let result = f(&mut claimer, unix_now());
+            (result, claimer.take_commands())
+        };
+        self.claims.timer.wake();
+        for command in commands {
+            match command {
+                Command::Append { batch, records } => self.append(batch, records),
+                Command::Dispatch { call } => self.dispatch(JobId(call.0)),
+                Command::Answer { call, answer } => self.answer(JobId(call.0), answer),
+            }
+        }
+        result
+    }
+
+    fn append(self: &Arc<Self>, batch: BatchId, records: Vec<ClaimRecord>) {
+        let agent = Arc::clone(self);
+        spawn(async move {
+            let deadline = monotonic_now().plus_millis(LOG_TIMEOUT_MS);
+            match agent.log.append(STREAM, &records, deadline).await {
+                Ok(_) => agent.with_claimer(|claimer, now| claimer.append_acknowledged(now, batch)),
+                Err(error) => {
+                    log::warn!("claims: {error}");
+                    agent.with_claimer(|claimer, now| match error {
+                        LogError::NoEffect(_) => claimer.append_refused(now, batch),
+                        LogError::EffectUnknown(_) => claimer.append_unknown(now, batch),
+                    });
+                }
+            }
+            agent.claims.reader.wake();
+        })
+        .detach();
+    }
+
+    fn dispatch(self: &Arc<Self>, job: JobId) {
+        let Some(attempt) = self.attempts.find(job) else {
+            return self.dispatch_finished(job, Finished::NotStarted);
+        };
+        attempt.mark_claimed();
+        if !self.holds_slot(job) {
+            return self.enqueue_claimed(&attempt);
+        }
+        let agent = Arc::clone(self);
+        spawn(async move { crate::service_call::run_claimed(&agent, &attempt).await }).detach();
+    }
+
+    fn answer(self: &Arc<Self>, job: JobId, answer: Answer) {
+        let cost = match (answer.verdict, self.attempts.find(job)) {
+            (Verdict::NotRun, _) | (_, None) => 0,
+            (_, Some(attempt)) => attempt.cost(0),
+        };
+        let ending = match answer.result {
+            Ok(response) => Ending {
+                verdict: answer.verdict,
+                ..Ending::responded(PlainResponse {
+                    status: response.status,
+                    content_type: response.content_type.clone(),
+                    body: response.body.clone(),
+                })
+            },
+            Err(error) => Ending { verdict: answer.verdict, ..Ending::not_run(attempt_error(error)) },
+        };
+        self.finish(job, cost, ending);
+    }
+
+    /// Reads the claims for ever.
+    pub(crate) async fn read_claims(self: Arc<Self>) {
+        loop {
+            let full = self.read_page().await;
+            if full {
+                continue;
+            }
+            let wait_ms = if self.claims.claimer.lock().wants_page() { BUSY_POLL_MS } else { IDLE_POLL_MS };
+            let next = monotonic_now().plus_millis(wait_ms);
+            future::or(self.claims.reader.wait(), sleep_until(next)).await;
+        }
+    }
+
+    /// Reads one page. Returns whether more records wait.
+    async fn read_page(self: &Arc<Self>) -> bool {
+        let from = self.claims.claimer.lock().ledger().next_offset().unwrap_or(0);
+        let deadline = monotonic_now().plus_millis(LOG_TIMEOUT_MS);
+        match self.log.read::<Value>(STREAM, from, PAGE_RECORDS, deadline).await {
+            Ok(page) => {
+                let records: Vec<_> = page
+                    .records
+                    .iter()
+                    .map(|record| Logged {
+                        offset: record.offset,
+                        at: record.at,
+                        record: ClaimRecord::parse(&record.data),
+                    })
+                    .collect();
+                self.with_claimer(|claimer, now| claimer.page(now, page.first, &records));
+                records.len() >= PAGE_RECORDS
+            }
+            Err(error) => {
+                log::debug!("claims: {error}");
+                self.with_claimer(|claimer, now| claimer.log_unavailable(now));
+                false
+            }
+        }
+    }
+
+    /// Lets the claimer's deadlines pass, for ever.
+    pub(crate) async fn run_claim_timer(self: Arc<Self>) {
+        loop {
+            let next = self.claims.claimer.lock().next_tick();
+            match next {
+                Some(at) => {
+                    let wait_ms = at.millis_since(unix_now());
+                    let due = sleep_until(monotonic_now().plus_millis(wait_ms));
+                    future::or(self.claims.timer.wait(), due).await;
+                }
+                None => self.claims.timer.wait().await,
+            }
+            if self.claims.claimer.lock().next_tick().is_some_and(|at| at <= unix_now()) {
+                self.with_claimer(|claimer, now| claimer.tick(now));
+            }
+        }
+    }
+}
+
+fn claim_key(attempt: &Attempt) -> Option<ClaimKey> {
+    Some(ClaimKey { key: attempt.claim_key()?, workspace: attempt.req.workspace.clone() })
+}
+
+const fn attempt_error(error: ClaimError) -> AttemptError {
+    match error {
+        ClaimError::LogUnavailable => AttemptError::LogUnavailable,
+        ClaimError::ClaimHeld => AttemptError::ClaimHeld,
+        ClaimError::KeyReused => AttemptError::KeyReused,
+        ClaimError::KeyOutsideWindow => AttemptError::KeyOutsideWindow,
+        ClaimError::Cancelled => AttemptError::Cancelled,
+        ClaimError::Draining => AttemptError::Draining,
+        ClaimError::DeadlinePassed => AttemptError::DeadlinePassed,
+        ClaimError::BackendLost => AttemptError::BackendLost,
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-agent/src/config_view.rs
@@ -0,0 +1,41 @@
+//! What the agent needs to know of the configuration.
+
+use fuchsiabay_base::{Timestamp, WorkspaceId};
+use fuchsiabay_config::Preset;
+use fuchsiabay_follow::ConfigFollower;
+use serde_json::Value;
+
+/// The configuration, as far as the agent needs it.
+pub trait ConfigView: Send + Sync + 'static {
+    /// Returns whether the configuration is known and proved current.
+    fn is_fresh(&self, now: Timestamp) -> bool;
+
+    /// Returns the preset in force, if one is known.
+    fn preset(&self) -> Option<Preset>;
+
+    /// Returns the share of a workspace relative to others.
+    fn weight(&self, workspace: &WorkspaceId) -> u32;
+
+    /// Returns the state for operators.
+    fn dump(&self, now: Timestamp) -> Value;
+}
+
+impl ConfigView for ConfigFollower {
+    fn is_fresh(&self, now: Timestamp) -> bool {
+        self.servable(now).is_some()
+    }
+
+    fn preset(&self) -> Option<Preset> {
+        Some(self.current()?.preset.clone())
+    }
+
+    fn weight(&self, workspace: &WorkspaceId) -> u32 {
+        let in_force = self.current();
+        let found = in_force.as_ref().and_then(|in_force| in_force.document.workspaces.get(workspace));
+        found.map_or(1, |workspace| workspace.weight)
+    }
+
+    fn dump(&self, now: Timestamp) -> Value {
+        ConfigFollower::dump(self, now)
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-agent/src/leaving.rs
@@ -0,0 +1,43 @@
+//! Watches the instance list for the own departure.
+
+use std::sync::Arc;
+
+use fuchsiabay_base::{Generation, InstanceId};
+use fuchsiabay_runtime::{Instance, InstanceState, ListClient, monotonic_now, sleep_until};
+
+use crate::{Agent, ConfigView};
+
+/// The interval of fetches, in milliseconds. Together with the lag of the list it must stay within a few seconds.
+const FETCH_MS: u64 = 1_000;
+
+/// The time that a fetch may take, in milliseconds.
+const FETCH_TIMEOUT_MS: u64 = 1_000;
+
+/// Drains the agent once the list says that it is leaving. While the list is down, the last one counts.
+pub(crate) async fn watch<C: ConfigView>(agent: Arc<Agent<C>>) {
+    let list = ListClient::new(&agent.params.list_url);
+    loop {
+        let next_fetch = monotonic_now().plus_millis(FETCH_MS);
+        match list.fetch(monotonic_now().plus_millis(FETCH_TIMEOUT_MS)).await {
+            Ok(instances) => {
+                let identity = &agent.params.identity;
+                if is_leaving(&instances, &identity.instance, identity.generation) {
+                    agent.leave();
+                    return;
+                }
+            }
+            Err(error) => log::debug!("agent: {error}"),
+        }
+        sleep_until(next_fetch).await;
+    }
+}
+
+/// Returns whether the list says that this life of the instance is leaving. An entry of an earlier life is a late one
+/// and says nothing about this life; generation zero means that the list does not know it.
+fn is_leaving(instances: &[Instance], own: &InstanceId, generation: Generation) -> bool {
+    instances.iter().any(|instance| {
+        instance.id == *own
+            && instance.state == InstanceState::Leaving
+            && (instance.generation >= generation || instance.generation == Generation(0))
+    })
+}
