Test the agent against failing engines, services and logs

Tokens in front of a malformed line were dropped when both arrived in one read, so that a stream resumed further back than needed.

--- a/crates/fuchsiabay-agent/src/backend/token_stream.rs
+++ b/crates/fuchsiabay-agent/src/backend/token_stream.rs
@@ -33,13 +33,14 @@
     buf: Box<[u8]>,
     parser: LineParser,
     ended: bool,
+    malformed: Option<MalformedStream>,
 }
 
 impl<R: AsyncRead + Unpin> TokenStream<R> {
     /// Reads `body`, whose first token is at position `first`.
     pub(crate) fn new(body: R, first: u32) -> Self {
         let buf = vec![0; READ_BYTES].into_boxed_slice();
-        Self { body, buf, parser: LineParser::new(first), ended: false }
+        Self { body, buf, parser: LineParser::new(first), ended: false, malformed: None }
     }
 
     /// Returns the position of the next token.
@@ -56,22 +57,21 @@
                 return item;
             }
             let read = self.body.read(&mut self.buf).await;
-            if let Err(malformed) = self.take(read, &mut batch) {
-                return StreamItem::Malformed(malformed);
-            }
+            self.take(read, &mut batch);
         }
-        while batch.text.len() < FRAME_TEXT_BYTES && !self.ended && self.parser.total().is_none() {
+        while batch.text.len() < FRAME_TEXT_BYTES && self.end().is_none() {
             let Some(read) = future::poll_once(self.body.read(&mut self.buf)).await else {
                 break;
             };
-            if let Err(malformed) = self.take(read, &mut batch) {
-                return StreamItem::Malformed(malformed);
-            }
+            self.take(read, &mut batch);
         }
         StreamItem::Tokens(batch)
     }
 
     fn end(&self) -> Option<StreamItem> {
+        if let Some(malformed) = self.malformed {
+            return Some(StreamItem::Malformed(malformed));
+        }
         match self.parser.total() {
             Some(total) => Some(StreamItem::Done { total }),
             None if self.ended => Some(StreamItem::Truncated),
@@ -79,14 +79,13 @@
         }
     }
 
+    /// Parses what was read. The tokens before a fault are kept, so that a stream resumes behind them.
+    ///
     /// An error of the connection ends the stream like its end does: what counts is whether the `done` line came.
-    fn take(&mut self, read: std::io::Result<usize>, batch: &mut Batch) -> Result<(), MalformedStream> {
+    fn take(&mut self, read: std::io::Result<usize>, batch: &mut Batch) {
         match read {
-            Ok(0) | Err(_) => {
-                self.ended = true;
-                Ok(())
-            }
-            Ok(n) => self.parser.push(&self.buf[..n], batch),
+            Ok(0) | Err(_) => self.ended = true,
+            Ok(n) => self.malformed = self.parser.push(&self.buf[..n], batch).err(),
         }
     }
 
--- /dev/null
+++ b/crates/fuchsiabay-agent/tests/support/fakes.rs
@@ -0,0 +1,247 @@
+//! Fakes of an engine, a plain service and the log, as tiny servers on ports that the kernel chooses.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    io,
+    net::SocketAddr,
+    pin::Pin,
+    sync::Arc,
+    task::{Context, Poll, ready},
+};
+
+use fuchsiabay_runtime::unix_now;
+use futures_lite::{AsyncRead, Stream};
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use smol::channel::{Receiver, Sender};
+use trillium::{Body, Conn, Handler, Status};
+use trillium_router::{Router, RouterConnExt};
+
+async fn serve(handler: impl Handler) -> SocketAddr {
+    let handle = trillium_smol::config().with_host("127.0.0.1").with_port(0).without_signals().spawn(handler);
+    *handle.info().await.tcp_socket_addr().unwrap()
+}
+
+/// Answers with the JSON of `f`.
+fn route<S: Send + Sync + 'static>(
+    state: &Arc<S>,
+    f: impl Fn(&S, &Conn, Value) -> Result<Value, Status> + Clone + Send + Sync + 'static,
+) -> impl Handler {
+    let state = Arc::clone(state);
+    move |mut conn: Conn| {
+        let (state, f) = (Arc::clone(&state), f.clone());
+        async move {
+            let text = conn.request_body_string().await.unwrap_or_default();
+            match f(&state, &conn, serde_json::from_str(&text).unwrap_or_default()) {
+                Ok(value) => conn.ok(value.to_string()),
+                Err(status) => conn.with_status(status).halt(),
+            }
+        }
+    }
+}
+
+/// A body that yields what is sent to a channel. It ends when the sender is dropped.
+struct ChannelBody {
+    rx: Pin<Box<Receiver<Vec<u8>>>>,
+    buf: Vec<u8>,
+}
+
+impl AsyncRead for ChannelBody {
+    fn poll_read(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &mut [u8]) -> Poll<io::Result<usize>> {
+        if self.buf.is_empty() {
+            match ready!(self.rx.as_mut().poll_next(cx)) {
+                Some(bytes) => self.buf = bytes,
+                None => return Poll::Ready(Ok(0)),
+            }
+        }
+        let n = self.buf.len().min(buf.len());
+        buf[..n].copy_from_slice(&self.buf[..n]);
+        self.buf.drain(..n);
+        Poll::Ready(Ok(n))
+    }
+}
+
+/// An engine that does what the prompt says: `whole` gives three tokens and the end, `truncate` three tokens and no
+/// end, `gap` leaves out a position, `hold` one token and the rest when told.
+#[derive(Default)]
+pub(crate) struct FakeEngine {
+    held: Mutex<HashMap<String, Sender<Vec<u8>>>>,
+    prompts: Mutex<Vec<String>>,
+    cancelled: Mutex<Vec<String>>,
+    sick: Mutex<bool>,
+    targets: Mutex<BTreeMap<String, Value>>,
+}
+
+impl FakeEngine {
+    pub(crate) async fn start() -> (Arc<Self>, SocketAddr) {
+        let engine = Arc::new(Self::default());
+        let generating = Arc::clone(&engine);
+        let router = Router::new()
+            .post("/v1/generate", move |mut conn: Conn| {
+                let engine = Arc::clone(&generating);
+                async move {
+                    let text = conn.request_body_string().await.unwrap_or_default();
+                    let body = engine.generate(&serde_json::from_str(&text).unwrap());
+                    conn.ok(Body::new_streaming(body, None))
+                }
+            })
+            .post("/cancel/:id", route(&engine, |engine, conn, _| engine.cancel(conn.param("id").unwrap())))
+            .post("/orders", route(&engine, |engine, _, order| engine.order(order)))
+            .get("/orders", route(&engine, |engine, _, _| Ok(json!({ "targets": *engine.targets.lock() }))))
+            .get("/health", route(&engine, |engine, _, _| engine.health()));
+        (engine, serve(router).await)
+    }
+
+    fn generate(&self, req: &Value) -> ChannelBody {
+        let (tx, rx) = smol::channel::unbounded();
+        let send = |text: &str| tx.try_send(text.as_bytes().to_vec()).unwrap();
+        let prompt = req["prompt"].as_str().unwrap();
+        self.prompts.lock().push(prompt.to_owned());
+        send("data: {\"pos\":0,\"text\":\"a\"}\n\n");
+        match prompt {
+            "whole" => send(
+                "data: {\"pos\":1,\"text\":\"\\u00e9\"}\n\ndata: {\"pos\":2,\"text\":\"c\"}\n\ndata: {\"done\":true,\"total\":3}\n\n",
+            ),
+            "truncate" => send("data: {\"pos\":1,\"text\":\"b\"}\n\ndata: {\"pos\":2,\"te"),
+            "gap" => send("data: {\"pos\":2,\"text\":\"c\"}\n\n"),
+            _ => _ = self.held.lock().insert(req["id"].as_str().unwrap().to_owned(), tx.clone()),
+        }
+        ChannelBody { rx: Box::pin(rx), buf: Vec::new() }
+    }
+
+    fn cancel(&self, id: &str) -> Result<Value, Status> {
+        self.held.lock().remove(id);
+        self.cancelled.lock().push(id.to_owned());
+        Ok(Value::Null)
+    }
+
+    fn order(&self, order: Value) -> Result<Value, Status> {
+        self.targets.lock().insert(order["kind"].as_str().unwrap().to_owned(), order);
+        Ok(Value::Null)
+    }
+
+    fn health(&self) -> Result<Value, Status> {
+        if *self.sick.lock() { Err(Status::InternalServerError) } else { Ok(Value::Null) }
+    }
+
+    /// Completes every held stream.
+    pub(crate) fn complete(&self) {
+        for (_, tx) in self.held.lock().drain() {
+            let rest = b"data: {\"pos\":1,\"text\":\"z\"}\n\ndata: {\"done\":true,\"total\":2}\n\n";
+            let _ = tx.try_send(rest.to_vec());
+        }
+    }
+
+    /// Fails its health probes, as a server does whose engine died.
+    pub(crate) fn fall_sick(&self) {
+        *self.sick.lock() = true;
+    }
+
+    pub(crate) fn held(&self) -> usize {
+        self.held.lock().len()
+    }
+
+    /// Returns the prompts of the streams that were started.
+    pub(crate) fn prompts(&self) -> Vec<String> {
+        self.prompts.lock().clone()
+    }
+
+    pub(crate) fn cancelled(&self) -> usize {
+        self.cancelled.lock().len()
+    }
+
+    pub(crate) fn target(&self, kind: &str) -> Option<Value> {
+        self.targets.lock().get(kind).cloned()
+    }
+}
+
+/// A plain service that counts its effects by key.
+#[derive(Default)]
+pub(crate) struct FakeService {
+    effects: Mutex<BTreeMap<String, u32>>,
+}
+
+impl FakeService {
+    pub(crate) async fn start() -> (Arc<Self>, SocketAddr) {
+        let service = Arc::new(Self::default());
+        let router = Router::new()
+            .get("/health", route(&service, |_, _, _| Ok(Value::Null)))
+            .get("/lots/*", route(&service, |_, _, _| Ok(json!("dry"))))
+            .post("/lots/*", route(&service, |service, conn, _| service.release(conn)));
+        (service, serve(router).await)
+    }
+
+    fn release(&self, conn: &Conn) -> Result<Value, Status> {
+        let key = conn.request_headers().get_str("idempotency-key").unwrap_or_default();
+        let mut effects = self.effects.lock();
+        let count = effects.entry(key.to_owned()).or_default();
+        *count += 1;
+        Ok(json!({ "run": *count }))
+    }
+
+    /// Returns the count of every key.
+    pub(crate) fn effects(&self) -> Vec<u32> {
+        self.effects.lock().values().copied().collect()
+    }
+}
+
+/// The log. It can be down, or lose the answers to appends that took effect.
+#[derive(Default)]
+pub(crate) struct FakeLog {
+    streams: Mutex<BTreeMap<String, Vec<Value>>>,
+    down: Mutex<bool>,
+    loses_answers: Mutex<bool>,
+}
+
+impl FakeLog {
+    pub(crate) async fn start() -> (Arc<Self>, SocketAddr) {
+        let log = Arc::new(Self::default());
+        let router = Router::new()
+            .post("/streams/:name/records", route(&log, Self::append))
+            .get("/streams/:name/records", route(&log, Self::read));
+        (log, serve(router).await)
+    }
+
+    fn append(&self, conn: &Conn, body: Value) -> Result<Value, Status> {
+        if *self.down.lock() {
+            return Err(Status::ServiceUnavailable);
+        }
+        let mut streams = self.streams.lock();
+        let stream = streams.entry(conn.param("name").unwrap().to_owned()).or_default();
+        let mut offsets = Vec::new();
+        for data in body["records"].as_array().unwrap() {
+            offsets.push(stream.len());
+            stream.push(json!({ "offset": stream.len(), "at_ms": unix_now().as_millis(), "data": data }));
+        }
+        if *self.loses_answers.lock() {
+            return Err(Status::InternalServerError);
+        }
+        Ok(json!({ "offsets": offsets }))
+    }
+
+    fn read(&self, conn: &Conn, _body: Value) -> Result<Value, Status> {
+        if *self.down.lock() {
+            return Err(Status::ServiceUnavailable);
+        }
+        let from = conn.querystring().trim_start_matches("from=").split('&').next().unwrap();
+        let streams = self.streams.lock();
+        let stream = streams.get(conn.param("name").unwrap()).map_or(&[][..], Vec::as_slice);
+        let records = stream.get(from.parse().unwrap()..).unwrap_or_default();
+        Ok(json!({ "first": 0, "next": stream.len(), "records": records }))
+    }
+
+    pub(crate) fn set_down(&self, down: bool) {
+        *self.down.lock() = down;
+    }
+
+    pub(crate) fn set_loses_answers(&self, loses: bool) {
+        *self.loses_answers.lock() = loses;
+    }
+
+    /// Appends a record as an operator does.
+    pub(crate) fn put(&self, name: &str, data: Value) {
+        let mut streams = self.streams.lock();
+        let stream = streams.entry(name.to_owned()).or_default();
+        stream.push(json!({ "offset": stream.len(), "at_ms": unix_now().as_millis(), "data": data }));
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-agent/tests/support/mod.rs
@@ -0,0 +1,221 @@
+//! An agent with in-process fakes of its backend server, the log and the entry instance.
+
+#![allow(dead_code)] // Each test file uses a part of it.
+
+pub(crate) mod fakes;
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+use fuchsiabay_agent::{Agent, AgentParams, ConfigView};
+use fuchsiabay_base::{AttemptId, Fingerprint, Generation, IdempotencyKey, Timestamp, Verdict, WorkspaceId};
+use fuchsiabay_claims::ClaimLimits;
+use fuchsiabay_config::{Millis, Preset};
+use fuchsiabay_runtime::{
+    AttemptEvent, AttemptStream, Identity, Peer, PeerListener, PeerService, monotonic_now, spawn, unix_now,
+};
+use fuchsiabay_settings::BackendKind;
+use fuchsiabay_wire::{
+    CancelReply, End, LoadReport, Priority, Role, SharedKey, SubmitReply, SubmitRequest, Work,
+};
+use jsonrpsee::Methods;
+
+/// The configuration that never changes.
+pub(crate) struct FixedConfig;
+
+impl ConfigView for FixedConfig {
+    fn is_fresh(&self, _now: Timestamp) -> bool {
+        true
+    }
+
+    fn preset(&self) -> Option<Preset> {
+        Some(Preset {
+            queue_limit: 64,
+            long_share_percent: 50,
+            ageing_ms: Millis(1_000),
+            long_work_tokens: 1_000,
+            max_output_tokens: 10_000,
+            retry_budget_percent: 10,
+            spill_over_ms: Millis(100),
+            quarantine_crashes: 2,
+            quarantine_ms: Millis(60_000),
+            default_deadline_ms: Millis(30_000),
+            drain_ms: Millis(60_000),
+        })
+    }
+
+    fn weight(&self, _workspace: &WorkspaceId) -> u32 {
+        1
+    }
+
+    fn dump(&self, _now: Timestamp) -> serde_json::Value {
+        serde_json::Value::Null
+    }
+}
+
+/// An entry instance that serves nothing.
+struct NoMethods;
+
+impl PeerService for NoMethods {
+    fn methods(self: &Arc<Self>, _peer: &Peer) -> Methods {
+        Methods::new()
+    }
+}
+
+/// An agent and a connection to it.
+pub(crate) struct Harness {
+    pub(crate) agent: Arc<Agent<FixedConfig>>,
+    pub(crate) peer: Peer,
+}
+
+static NEXT_ATTEMPT: AtomicU64 = AtomicU64::new(1);
+
+fn identity(role: Role, instance: &str) -> Identity {
+    Identity { role, instance: instance.into(), generation: Generation(1), zone: "a".into() }
+}
+
+impl Harness {
+    /// Starts an agent with two slots in front of the backend server at `backend`.
+    pub(crate) async fn start(name: &str, kind: BackendKind, backend: SocketAddr, log: SocketAddr) -> Self {
+        let identity = identity(Role::Agent, name);
+        let params = AgentParams {
+            identity: identity.clone(),
+            kind,
+            service: "service".into(),
+            backend_url: format!("http://{backend}"),
+            slots: 2,
+            log_url: format!("http://{log}"),
+            // Nobody listens there: the list is down, and the agent goes on.
+            list_url: "http://127.0.0.1:1".to_owned(),
+            claims: ClaimLimits { window_ms: 600_000, skew_ms: 5_000, margin_ms: 60_000 },
+        };
+        let agent = Agent::new(params, Arc::new(FixedConfig));
+        let listener = PeerListener::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        agent.start();
+        spawn(listener.serve(identity, SharedKey::new("key"), Arc::clone(&agent))).detach();
+        let harness = Self { agent, peer: connect(addr).await };
+        harness.until(|load| !load.draining).await;
+        harness
+    }
+
+    /// Submits an attempt, and returns its frames.
+    pub(crate) async fn submit(&self, req: &SubmitRequest) -> (SubmitReply, AttemptStream) {
+        let stream = self.peer.open_attempt(req.attempt);
+        (self.call("submit", req).await, stream)
+    }
+
+    /// Submits an attempt that must be admitted, and waits for its end.
+    pub(crate) async fn run(&self, req: &SubmitRequest) -> (Vec<u8>, End) {
+        let (reply, stream) = self.submit(req).await;
+        assert!(matches!(reply, SubmitReply::Admitted { .. }), "{reply:?}");
+        drain(&stream).await
+    }
+
+    pub(crate) async fn cancel(&self, attempt: AttemptId) -> Verdict {
+        self.call::<_, CancelReply>("cancel", &attempt).await.verdict
+    }
+
+    /// Waits until the load report is as wanted.
+    pub(crate) async fn until(&self, wanted: impl Fn(&LoadReport) -> bool) {
+        loop {
+            let report: LoadReport = self.peer.call("load", &(), deadline()).await.unwrap();
+            if wanted(&report) {
+                return;
+            }
+            pause().await;
+        }
+    }
+
+    async fn call<P: serde::Serialize, R: serde::de::DeserializeOwned>(&self, method: &str, params: &P) -> R {
+        self.peer.call(method, params, deadline()).await.unwrap()
+    }
+}
+
+async fn connect(addr: SocketAddr) -> Peer {
+    let own = identity(Role::Entry, "entry");
+    Peer::connect(addr, &own, &SharedKey::new("key"), Arc::new(NoMethods), deadline()).await.unwrap()
+}
+
+/// Far enough that only a fault reaches it.
+fn deadline() -> Timestamp {
+    monotonic_now().plus_millis(60_000)
+}
+
+pub(crate) async fn pause() {
+    smol::Timer::after(Duration::from_millis(5)).await;
+}
+
+/// Waits until `condition` holds.
+pub(crate) async fn until(condition: impl Fn() -> bool) {
+    while !condition() {
+        pause().await;
+    }
+}
+
+/// Collects the text of an attempt, checks that its positions have no gap, and returns its end.
+pub(crate) async fn drain(stream: &AttemptStream) -> (Vec<u8>, End) {
+    let (mut text, mut next) = (Vec::new(), None);
+    loop {
+        match stream.next().await.expect("the connection stays open") {
+            AttemptEvent::Tokens(tokens) => {
+                assert_eq!(tokens.first, next.unwrap_or(tokens.first), "positions have a gap");
+                next = Some(tokens.first + u32::from(tokens.count));
+                text.extend_from_slice(&tokens.text);
+            }
+            AttemptEvent::End(end) => return (text, *end),
+        }
+    }
+}
+
+fn request(work: Work) -> SubmitRequest {
+    SubmitRequest {
+        attempt: AttemptId(NEXT_ATTEMPT.fetch_add(1, Ordering::Relaxed)),
+        workspace: "workspace".into(),
+        service: "service".into(),
+        idempotent: true,
+        key: None,
+        fingerprint: Fingerprint::of(&[b"request"]),
+        priority: Priority::Normal,
+        estimated_tokens: 10,
+        deadline_in_ms: 60_000,
+        solo: false,
+        config_version: 1,
+        work,
+    }
+}
+
+/// A generation. The prompt says what the fake engine does.
+pub(crate) fn generate(prompt: &str) -> SubmitRequest {
+    let prompt = prompt.to_owned();
+    request(Work::Generate { prompt, max_tokens: 100, resume_from: 0, resume_text: String::new() })
+}
+
+/// A look-up, which may run twice.
+pub(crate) fn look_up() -> SubmitRequest {
+    let (method, path) = ("GET".to_owned(), "/lots/7".to_owned());
+    request(Work::Plain { method, path, content_type: String::new(), body: Vec::new() })
+}
+
+/// A lot release, which must run at most once. `random` distinguishes the keys.
+pub(crate) fn release(random: u128) -> SubmitRequest {
+    let work = Work::Plain {
+        method: "POST".to_owned(),
+        path: "/lots/7/release".to_owned(),
+        content_type: "application/json".to_owned(),
+        body: b"{}".to_vec(),
+    };
+    let key = Some(IdempotencyKey::from_parts(unix_now(), random));
+    SubmitRequest { idempotent: false, key, ..request(work) }
+}
+
+/// The same call in another attempt.
+pub(crate) fn again(req: &SubmitRequest) -> SubmitRequest {
+    SubmitRequest { attempt: AttemptId(NEXT_ATTEMPT.fetch_add(1, Ordering::Relaxed)), ..req.clone() }
+}
