--- a/crates/fuchsiabay-agent/src/backend/client.rs
+++ b/crates/fuchsiabay-agent/src/backend/client.rs
@@ -35,7 +35,8 @@
 }
 
 /// Why a call has no answer.
-#[derive(Clone, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub(crate) enum BackendFailure {
     /// The request provably never reached the backend server.
     #[error("the backend server cannot be reached")]
@@ -55,7 +56,8 @@
 }
 
 /// A generation to start.
-#[derive(Debug, Serialize)]
+#[derive(Debug)]
+#[derive(Serialize)]
 pub(crate) struct GenerateCall<'a> {
     pub(crate) id: &'a str,
     pub(crate) prompt: &'a str,
--- a/crates/fuchsiabay-agent/src/backend/line_parser.rs
+++ b/crates/fuchsiabay-agent/src/backend/line_parser.rs
@@ -8,7 +8,8 @@
 const MAX_LINE_BYTES: usize = 256 << 10;
 
 /// Why a stream is not one of an engine.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
 pub(crate) enum MalformedStream {
     #[error("a line of the stream is not understood")]
     Line,
--- a/crates/fuchsiabay-agent/src/daemon.rs
+++ b/crates/fuchsiabay-agent/src/daemon.rs
@@ -24,7 +24,8 @@
 const DEFAULT_DRAIN_MS: u64 = 600_000;
 
 /// Why the agent could not start.
-#[derive(Debug, thiserror::Error)]
+#[derive(Debug)]
+#[derive(thiserror::Error)]
 pub enum StartError {
     /// An address could not be bound.
     #[error("cannot listen: {0}")]
