Add the entry daemon

Callers need one place that accepts chat completions and plain routes, picks a backend server and relays the answer. The daemon runs each request through the machine of fuchsiabay-routing, follows the instance list, keeps one connection to each agent, refuses while its configuration is not proved current, carries the quarantine to and from the log, and drains on SIGTERM.

--- /dev/null
+++ b/crates/fuchsiabay-entry/src/callers.rs
@@ -0,0 +1,43 @@
+//! The HTTP server for callers.
+
+use std::sync::Arc;
+
+use smol::net::TcpListener;
+use trillium::{Conn, HttpConfig, Method};
+use trillium_server_common::ServerHandle;
+
+use crate::{chat, config_source::ConfigSource, entry::Entry, plain, problem::Problem};
+
+/// The size of the buffer of one response. It bounds the memory of an open stream and still takes a whole write of
+/// ready tokens.
+const WRITE_BUFFER_BYTES: usize = 8 * 1024;
+
+/// Serves callers on `listener` in the background.
+pub(crate) fn serve<C: ConfigSource>(entry: Arc<Entry<C>>, listener: TcpListener) -> ServerHandle {
+    let limits = entry.limits;
+    let http = HttpConfig::default()
+        .with_head_max_len(limits.max_head_bytes as usize)
+        .with_received_body_max_len(u64::from(limits.max_body_bytes))
+        .with_body_write_chunk_len(WRITE_BUFFER_BYTES);
+    trillium_smol::config()
+        .without_signals()
+        .with_nodelay()
+        .with_max_connections(Some(limits.max_connections as usize))
+        .with_http_config(http)
+        .with_prebound_server(listener)
+        .spawn(move |conn: Conn| answer(Arc::clone(&entry), conn))
+}
+
+async fn answer<C: ConfigSource>(entry: Arc<Entry<C>>, conn: Conn) -> Conn {
+    // Kept until the answer is prepared; an answer that is streamed keeps its own.
+    let _open = entry.open_request();
+    entry.counters.count_request();
+    let served = if conn.path() != chat::CHAT_PATH {
+        plain::serve(&entry, conn).await
+    } else if conn.method() == Method::Post {
+        chat::serve(&entry, conn).await
+    } else {
+        Err((conn, Problem::not_run(405, "method-not-allowed", "The method is not allowed", "allowed: POST")))
+    };
+    served.unwrap_or_else(|(conn, problem)| problem.answer(conn))
+}
--- /dev/null
+++ b/crates/fuchsiabay-entry/src/config_source.rs
@@ -0,0 +1,42 @@
+//! Where the entry gets its configuration from.
+
+use std::sync::Arc;
+
+use fuchsiabay_base::Timestamp;
+use fuchsiabay_config::InForce;
+use fuchsiabay_follow::ConfigFollower;
+use fuchsiabay_wire::{ConfigPullReply, ConfigPullRequest};
+use serde_json::Value;
+
+/// Provides the configuration in force. Tests use a fixed one.
+pub(crate) trait ConfigSource: Send + Sync + 'static {
+    /// Returns the configuration in force, whether or not it is proved current.
+    fn current(&self) -> Option<Arc<InForce>>;
+
+    /// Returns whether the configuration is proved current.
+    fn is_fresh(&self, now: Timestamp) -> bool;
+
+    /// Answers a neighbour.
+    fn reply(&self, req: &ConfigPullRequest, now: Timestamp) -> ConfigPullReply;
+
+    /// Returns the state for operators.
+    fn dump(&self, now: Timestamp) -> Value;
+}
+
+impl ConfigSource for Arc<ConfigFollower> {
+    fn current(&self) -> Option<Arc<InForce>> {
+        ConfigFollower::current(self)
+    }
+
+    fn is_fresh(&self, now: Timestamp) -> bool {
+        ConfigFollower::is_fresh(self, now)
+    }
+
+    fn reply(&self, req: &ConfigPullRequest, now: Timestamp) -> ConfigPullReply {
+        ConfigFollower::reply(self, req, now)
+    }
+
+    fn dump(&self, now: Timestamp) -> Value {
+        ConfigFollower::dump(self, now)
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-entry/src/job.rs
@@ -0,0 +1,90 @@
+//! What one caller asked for.
+
+use std::sync::Arc;
+
+use fuchsiabay_base::{AttemptId, Fingerprint, IdempotencyKey, ServiceName, Timestamp, WorkspaceId};
+use fuchsiabay_config::InForce;
+use fuchsiabay_routing::{Pick, RequestKind};
+use fuchsiabay_wire::{Priority, SubmitRequest, Work};
+
+/// A checked request. It is served under the configuration that it was checked against.
+#[derive(Debug)]
+pub(crate) struct Job {
+    pub(crate) config: Arc<InForce>,
+    pub(crate) workspace: WorkspaceId,
+    pub(crate) service: ServiceName,
+    pub(crate) idempotent: bool,
+    pub(crate) key: Option<IdempotencyKey>,
+    pub(crate) fingerprint: Fingerprint,
+    pub(crate) prefix: Option<u64>,
+    pub(crate) priority: Priority,
+    pub(crate) estimated_tokens: u32,
+    pub(crate) prompt_tokens: u32,
+    pub(crate) deadline: Timestamp,
+    pub(crate) work: JobWork,
+}
+
+/// The work without the state of an attempt.
+#[derive(Debug)]
+pub(crate) enum JobWork {
+    Generate { prompt: String, max_tokens: u32 },
+    Plain { method: String, path: String, content_type: String, body: Vec<u8> },
+}
+
+impl Job {
+    pub(crate) fn kind(&self) -> RequestKind {
+        match self.work {
+            JobWork::Generate { .. } => RequestKind::Generate,
+            JobWork::Plain { .. } => RequestKind::Plain,
+        }
+    }
+
+    /// Returns what the router needs to know.
+    pub(crate) fn pick<'a>(&'a self, tried: &'a [fuchsiabay_base::WriterId]) -> Pick<'a> {
+        Pick {
+            service: &self.service,
+            prefix: self.prefix,
+            tried,
+            spill_over_ms: self.config.preset.spill_over_ms.0,
+        }
+    }
+
+    /// Returns the message that submits an attempt, resumed at `resume_from` after `text`.
+    pub(crate) fn submission(
+        &self,
+        attempt: AttemptId,
+        solo: bool,
+        resume_from: u32,
+        text: &str,
+        now: Timestamp,
+    ) -> SubmitRequest {
+        let work = match &self.work {
+            JobWork::Generate { prompt, max_tokens } => Work::Generate {
+                prompt: prompt.clone(),
+                max_tokens: *max_tokens,
+                resume_from,
+                resume_text: text.to_owned(),
+            },
+            JobWork::Plain { method, path, content_type, body } => Work::Plain {
+                method: method.clone(),
+                path: path.clone(),
+                content_type: content_type.clone(),
+                body: body.clone(),
+            },
+        };
+        SubmitRequest {
+            attempt,
+            workspace: self.workspace.clone(),
+            service: self.service.clone(),
+            idempotent: self.idempotent,
+            key: self.key,
+            fingerprint: self.fingerprint,
+            priority: self.priority,
+            estimated_tokens: self.estimated_tokens.saturating_sub(resume_from).max(1),
+            deadline_in_ms: self.deadline.millis_since(now),
+            solo,
+            config_version: self.config.version,
+            work,
+        }
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-entry/src/membership.rs
@@ -0,0 +1,227 @@
+//! Connections to the agents of the instance list.
+
+use std::{
+    collections::HashMap,
+    sync::{Arc, atomic::Ordering},
+};
+
+use fuchsiabay_base::{InstanceId, Timestamp, WriterId};
+use fuchsiabay_routing::Member;
+use fuchsiabay_runtime::{Instance, InstanceState, ListClient, Peer, monotonic_now, sleep_until, spawn};
+use fuchsiabay_wire::{LoadReport, Role};
+use parking_lot::Mutex;
+use smol::channel::Sender;
+
+use crate::{
+    agent_link::{AgentLink, Target},
+    config_source::ConfigSource,
+    entry::Entry,
+};
+
+/// The interval of reads of the instance list, in milliseconds.
+const LIST_POLL_MS: u64 = 1_000;
+/// The time that the list has to answer, in milliseconds.
+const LIST_TIMEOUT_MS: u64 = 900;
+/// The time that a connection to an agent may take, in milliseconds.
+const CONNECT_TIMEOUT_MS: u64 = 1_000;
+/// The interval of load reports, in milliseconds. Reports in replies make the poll unnecessary under traffic.
+const LOAD_POLL_MS: u64 = 500;
+/// The time that an agent has to report its load, in milliseconds.
+const LOAD_TIMEOUT_MS: u64 = 2_000;
+
+/// A connection that is no longer needed stays open for this many polls, for a request that picked it just before.
+const IDLE_POLLS_BEFORE_CLOSE: u32 = 4;
+
+/// Keeps one connection to each live agent and the router up to date.
+pub(crate) struct Membership<C> {
+    entry: Arc<Entry<C>>,
+    agents: Mutex<HashMap<InstanceId, Agent>>,
+}
+
+/// A live agent of the list.
+struct Agent {
+    listed: Instance,
+    link: Link,
+}
+
+enum Link {
+    Down,
+    Dialing,
+    Up(Peer),
+}
+
+impl<C: ConfigSource> Membership<C> {
+    pub(crate) fn new(entry: Arc<Entry<C>>) -> Arc<Self> {
+        Arc::new(Self { entry, agents: Mutex::default() })
+    }
+
+    /// Polls the instance list for ever. A list that fails leaves the last one in use.
+    pub(crate) async fn run(self: Arc<Self>, list: ListClient, members: Sender<Vec<Instance>>) {
+        let mut failed = false;
+        loop {
+            let next_poll = monotonic_now().plus_millis(LIST_POLL_MS);
+            match list.fetch(monotonic_now().plus_millis(LIST_TIMEOUT_MS)).await {
+                Ok(instances) => {
+                    failed = false;
+                    self.apply(&instances);
+                    let _ = members.try_send(instances);
+                }
+                Err(error) if !failed => {
+                    failed = true;
+                    log::warn!("entry: {error}; the last instance list stays in use");
+                }
+                Err(_) => {}
+            }
+            self.dial();
+            self.entry.router.mark_stragglers();
+            sleep_until(next_poll).await;
+        }
+    }
+
+    /// Takes an instance list over and connects to new agents.
+    pub(crate) fn apply(self: &Arc<Self>, instances: &[Instance]) {
+        let live = |i: &&Instance| i.state == InstanceState::Live;
+        let entries = instances.iter().filter(live).filter(|i| i.role == Role::Entry).count();
+        self.entry.live_entries.store(entries.max(1) as u64, Ordering::Relaxed);
+        let wanted: HashMap<&InstanceId, &Instance> = instances
+            .iter()
+            .filter(live)
+            .filter(|i| i.role == Role::Agent && i.service.is_some())
+            .map(|i| (&i.id, i))
+            .collect();
+        let mut agents = self.agents.lock();
+        agents.retain(|id, _| wanted.contains_key(id));
+        for (id, instance) in wanted {
+            match agents.get_mut(id) {
+                // An agent that moved to another address is another process, and its old connection is void.
+                Some(agent) if agent.listed.peer == instance.peer => agent.listed = instance.clone(),
+                _ => {
+                    let agent = Agent { listed: instance.clone(), link: Link::Down };
+                    agents.insert(id.clone(), agent);
+                }
+            }
+        }
+        self.publish(&agents);
+        drop(agents);
+        self.dial();
+    }
+
+    /// Connects to the agents without a connection.
+    fn dial(self: &Arc<Self>) {
+        for agent in self.agents.lock().values_mut() {
+            if let Link::Down = agent.link {
+                agent.link = Link::Dialing;
+                spawn(Arc::clone(self).connect(agent.listed.clone())).detach();
+            }
+        }
+    }
+
+    async fn connect(self: Arc<Self>, instance: Instance) {
+        let entry = &self.entry;
+        let deadline = monotonic_now().plus_millis(CONNECT_TIMEOUT_MS);
+        let connected =
+            Peer::connect(instance.peer, &entry.identity, &entry.key, Arc::clone(entry), deadline).await;
+        let peer = match connected {
+            Ok(peer) if peer.hello().role == Role::Agent && peer.hello().instance == instance.id => peer,
+            Ok(peer) => {
+                log::warn!("entry: {} answers at the address of {}", peer.hello().instance, instance.id);
+                peer.close();
+                return self.set_link(&instance, Link::Down);
+            }
+            Err(error) => {
+                log::debug!("entry: cannot connect to {}: {error}", instance.id);
+                return self.set_link(&instance, Link::Down);
+            }
+        };
+        log::info!("entry: connected to {} generation {}", instance.id, peer.hello().generation);
+        self.set_link(&instance, Link::Up(peer.clone()));
+        let id = WriterId { instance: instance.id.clone(), generation: peer.hello().generation };
+        if let Some(server) = self.server(&instance, &id) {
+            self.watch(&server, &peer).await;
+        }
+        if peer.is_closed() {
+            log::info!("entry: connection to {} closed", instance.id);
+            self.set_link(&instance, Link::Down);
+            return self.dial_after_loss(&instance);
+        }
+        peer.close();
+    }
+
+    /// Polls the load of `server` until its connection closes or it has left the list and its attempts have ended.
+    async fn watch(&self, server: &Target, peer: &Peer) {
+        let mut idle_polls = 0;
+        while !peer.is_closed() {
+            let next_poll = monotonic_now().plus_millis(LOAD_POLL_MS);
+            let idle = !self.is_routed(server) && server.link().open_attempts() == 0;
+            idle_polls = if idle { idle_polls + 1 } else { 0 };
+            if idle_polls == IDLE_POLLS_BEFORE_CLOSE {
+                return;
+            }
+            if server.load().reported_at.plus_millis(LOAD_POLL_MS) <= monotonic_now() {
+                let deadline = monotonic_now().plus_millis(LOAD_TIMEOUT_MS);
+                if let Ok(report) = peer.call::<_, LoadReport>("load", &(), deadline).await {
+                    server.apply_report(report, monotonic_now());
+                }
+            }
+            futures_lite::future::or(peer.closed(), sleep_until(next_poll)).await;
+        }
+        server.set_connected(false);
+    }
+
+    /// An agent that restarts is back long before the next poll of the list.
+    fn dial_after_loss(self: &Arc<Self>, instance: &Instance) {
+        let membership = Arc::clone(self);
+        let wait_until: Timestamp = monotonic_now().plus_millis(LOAD_POLL_MS / 2);
+        let id = instance.id.clone();
+        spawn(async move {
+            sleep_until(wait_until).await;
+            log::debug!("entry: connecting to {id} again");
+            membership.dial();
+        })
+        .detach();
+    }
+
+    fn set_link(&self, instance: &Instance, link: Link) {
+        let mut agents = self.agents.lock();
+        if let Some(agent) = agents.get_mut(&instance.id)
+            && agent.listed.peer == instance.peer
+        {
+            agent.link = link;
+        }
+        self.publish(&agents);
+    }
+
+    /// Gives the connected agents to the router. Their generation is the one that they stated themselves, because the
+    /// list lags.
+    fn publish(&self, agents: &HashMap<InstanceId, Agent>) {
+        let mut peers = HashMap::new();
+        let mut members = Vec::new();
+        for agent in agents.values() {
+            let (Link::Up(peer), Some(service)) = (&agent.link, &agent.listed.service) else {
+                continue;
+            };
+            let id = WriterId { instance: agent.listed.id.clone(), generation: peer.hello().generation };
+            peers.insert(id.clone(), peer.clone());
+            members.push(Member { id, zone: agent.listed.zone.clone(), service: service.clone() });
+        }
+        let left = self.entry.router.update(members, |member| AgentLink::new(peers[&member.id].clone()));
+        for server in left {
+            server.set_connected(false);
+        }
+        for (_, servers) in self.entry.router.all() {
+            for server in servers.iter() {
+                server.set_connected(!server.link().peer().is_closed());
+            }
+        }
+    }
+
+    fn server(&self, instance: &Instance, id: &WriterId) -> Option<Target> {
+        let servers = self.entry.router.servers(instance.service.as_ref()?);
+        servers.iter().find(|s| s.id() == id).map(Arc::clone)
+    }
+
+    fn is_routed(&self, server: &Target) -> bool {
+        let mut services = self.entry.router.all().into_iter();
+        services.any(|(_, servers)| servers.iter().any(|s| Arc::ptr_eq(s, server)))
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-entry/src/tests/bad_input.rs
@@ -0,0 +1,79 @@
+//! Bad input gets a clear refusal and never reaches an agent.
+
+use serde_json::Value;
+
+use super::{
+    fake_agent::Act,
+    world::{World, chat_body},
+};
+
+const CHAT: &str = "POST /v1/chat/completions";
+const WORKSPACE: &str = "Fuchsiabay-Workspace: gate\r\n";
+const KEY: &str = "Idempotency-Key: 018f3c5e-7b1a-7c3d-8e4f-0123456789ab\r\n";
+
+fn check(request_line: &str, headers: &str, body: &str, status: u16) {
+    smol::block_on(async {
+        let world = World::start(&[]).await;
+        let answer = world.ask(request_line, headers, body).await;
+        assert_eq!(answer.status, status, "{answer:?}");
+        assert_eq!(answer.header("fuchsiabay-verdict"), Some("not-run"));
+        let problem: Value = serde_json::from_str(&answer.body).expect("the body is a problem");
+        assert_eq!(problem["verdict"], "not-run");
+        assert_eq!(problem["status"], status);
+        assert_eq!(answer.header("content-type"), Some("application/problem+json"));
+        assert!(world.script.submissions.lock().is_empty());
+    });
+}
+
+macro_rules! cases {
+    ($($name:ident: $line:expr, $headers:expr, $body:expr => $status:expr;)+) => {
+        $(#[test] fn $name() { check($line, &$headers, &$body, $status); })+
+    };
+}
+
+// Each of these must be refused before an agent sees it, with a status that tells the caller not to send it again.
+cases! {
+    no_workspace: CHAT, "", chat_body(false) => 400;
+    unknown_workspace: CHAT, "Fuchsiabay-Workspace: nobody\r\n", chat_body(false) => 403;
+    deadline_not_a_number: CHAT, format!("{WORKSPACE}Fuchsiabay-Deadline-Ms: soon\r\n"), chat_body(false) => 400;
+    deadline_zero: CHAT, format!("{WORKSPACE}Fuchsiabay-Deadline-Ms: 0\r\n"), chat_body(false) => 400;
+    not_json: CHAT, WORKSPACE, "{" => 400;
+    lone_surrogate: CHAT, WORKSPACE, r#"{"model":"\ud800","messages":[]}"# => 400;
+    no_messages: CHAT, WORKSPACE, r#"{"model":"assistant","messages":[]}"# => 400;
+    unknown_role: CHAT, WORKSPACE, r#"{"model":"assistant","messages":[{"role":"x","content":""}]}"# => 400;
+    image: CHAT, WORKSPACE,
+        r#"{"model":"assistant","messages":[{"role":"user","content":[{"type":"image_url"}]}]}"# => 400;
+    two_choices: CHAT, WORKSPACE,
+        r#"{"model":"assistant","n":2,"messages":[{"role":"user","content":""}]}"# => 400;
+    too_many_tokens: CHAT, WORKSPACE,
+        r#"{"model":"assistant","max_tokens":101,"messages":[{"role":"user","content":""}]}"# => 400;
+    no_tokens: CHAT, WORKSPACE,
+        r#"{"model":"assistant","max_tokens":0,"messages":[{"role":"user","content":""}]}"# => 400;
+    unknown_model: CHAT, WORKSPACE, r#"{"model":"x","messages":[{"role":"user","content":""}]}"# => 404;
+    plain_service_as_model: CHAT, WORKSPACE,
+        r#"{"model":"booking","messages":[{"role":"user","content":""}]}"# => 404;
+    wrong_method: "GET /v1/chat/completions", WORKSPACE, "" => 405;
+    body_too_large: CHAT, WORKSPACE, "x".repeat(3000) => 413;
+    too_many_headers: CHAT, (0..30).map(|n| format!("X-{n}: y\r\n")).collect::<String>() + WORKSPACE, "" => 431;
+    unknown_route: "GET /secrets", WORKSPACE, "" => 404;
+    wrong_method_of_route: "DELETE /lots/release", WORKSPACE, "" => 404;
+    lot_release_without_key: "POST /lots/release", WORKSPACE, "{}" => 400;
+    key_version_4: "POST /lots/release",
+        format!("{WORKSPACE}Idempotency-Key: 9b2c1f6e-3d4a-4b5c-8d7e-0123456789ab\r\n"), "{}" => 400;
+    key_garbage: "POST /lots/release", format!("{WORKSPACE}Idempotency-Key: 42\r\n"), "{}" => 400;
+    key_without_workspace: "POST /lots/release", KEY, "{}" => 400;
+}
+
+// A workspace above its limit must learn when to return.
+#[test]
+fn workspace_above_its_limit() {
+    smol::block_on(async {
+        let world = World::start(&[Act::Hang]).await;
+        let headers = "Fuchsiabay-Workspace: limited\r\n";
+        let _first = world.send(CHAT, headers, &chat_body(false)).await;
+        world.until(|world| !world.script.submissions.lock().is_empty()).await;
+        let second = world.ask(CHAT, headers, &chat_body(false)).await;
+        assert_eq!(second.status, 429, "{second:?}");
+        assert!(second.header("retry-after").is_some());
+    });
+}
--- /dev/null
+++ b/crates/fuchsiabay-entry/src/tests/world.rs
@@ -0,0 +1,206 @@
+//! An entry instance with two agents of each service.
+
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
+};
+
+use fuchsiabay_base::{Generation, Timestamp};
+use fuchsiabay_config::InForce;
+use fuchsiabay_routing::QuarantineRecord;
+use fuchsiabay_runtime::{Identity, Instance, InstanceState};
+use fuchsiabay_settings::Limits;
+use fuchsiabay_wire::{ConfigPullReply, ConfigPullRequest, Role, SharedKey};
+use serde_json::{Value, json};
+use smol::{
+    channel::Receiver,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+
+use super::fake_agent::{Act, FakeAgent, Script};
+use crate::{callers, config_source::ConfigSource, entry::Entry, membership::Membership};
+
+const AGENTS: [(&str, &str); 4] =
+    [("m1", "assistant"), ("m2", "assistant"), ("p1", "booking"), ("p2", "booking")];
+
+/// A configuration that is current until it is told otherwise.
+pub(super) struct FixedConfig {
+    in_force: Arc<InForce>,
+    pub(super) fresh: AtomicBool,
+}
+
+impl ConfigSource for FixedConfig {
+    fn current(&self) -> Option<Arc<InForce>> {
+        Some(Arc::clone(&self.in_force))
+    }
+
+    fn is_fresh(&self, _now: Timestamp) -> bool {
+        self.fresh.load(Ordering::SeqCst)
+    }
+
+    fn reply(&self, _req: &ConfigPullRequest, _now: Timestamp) -> ConfigPullReply {
+        ConfigPullReply::default()
+    }
+
+    fn dump(&self, _now: Timestamp) -> Value {
+        Value::Null
+    }
+}
+
+fn config() -> FixedConfig {
+    let preset = json!({
+        "queue_limit": 10, "long_share_percent": 50, "ageing_ms": 1000, "long_work_tokens": 1000,
+        "max_output_tokens": 100, "retry_budget_percent": 50, "spill_over_ms": 50, "quarantine_crashes": 2,
+        "quarantine_ms": 60000, "default_deadline_ms": 30000, "drain_ms": 60000,
+    });
+    let route = |method: &str, path: &str, idempotent: bool| {
+        json!({
+            "method": method, "path": path, "service": "booking", "idempotent": idempotent,
+            "default_deadline_ms": 30000,
+        })
+    };
+    let in_force = json!({
+        "version": 3,
+        "preset_name": "ordinary",
+        "document": {
+            "services": {"assistant": {"kind": "model"}, "booking": {"kind": "plain"}},
+            "routes": [route("POST", "/lots/release", false), route("GET", "/lots/*", true)],
+            "workspaces": {"gate": {}, "limited": {"tokens_per_second": 1}},
+            "presets": {"ordinary": preset},
+            "initial_preset": "ordinary",
+        },
+    });
+    let in_force = serde_json::from_value(in_force).expect("the configuration is valid");
+    FixedConfig { in_force: Arc::new(in_force), fresh: AtomicBool::new(true) }
+}
+
+pub(super) struct World {
+    pub(super) entry: Arc<Entry<FixedConfig>>,
+    pub(super) script: Arc<Script>,
+    pub(super) records: Receiver<QuarantineRecord>,
+    addr: SocketAddr,
+}
+
+impl World {
+    /// Starts an entry with agents that follow `acts` in the order of their submissions.
+    pub(super) async fn start(acts: &[Act]) -> Self {
+        let script = Arc::new(Script::default());
+        script.acts.lock().extend(acts);
+        let key = SharedKey::new("a key for tests only");
+        let mut instances = Vec::new();
+        for (name, service) in AGENTS {
+            instances.push(Instance {
+                id: name.into(),
+                role: Role::Agent,
+                zone: "a".into(),
+                service: Some(service.into()),
+                peer: FakeAgent::start(name, key.clone(), Arc::clone(&script)).await,
+                // The list lags behind the generation that the agents state themselves.
+                generation: Generation(1),
+                state: InstanceState::Live,
+            });
+        }
+        let identity = Identity {
+            role: Role::Entry,
+            instance: "e1".into(),
+            generation: Generation(1),
+            zone: "a".into(),
+        };
+        let limits = Limits { max_body_bytes: 2048, max_headers: 20, ..Limits::default() };
+        let (entry, records) = Entry::new(identity, key, limits, config(), 1);
+        let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+        let addr = listener.local_addr().unwrap();
+        callers::serve(Arc::clone(&entry), listener);
+        Membership::new(Arc::clone(&entry)).apply(&instances);
+        let world = Self { entry, script, records, addr };
+        world.until(|world| world.servers() == AGENTS.len()).await;
+        world
+    }
+
+    /// Waits for a condition. A condition that never holds hangs the test and does not let it pass.
+    pub(super) async fn until(&self, holds: impl Fn(&Self) -> bool) {
+        while !holds(self) {
+            smol::Timer::after(Duration::from_millis(1)).await;
+        }
+    }
+
+    fn servers(&self) -> usize {
+        self.entry.router.all().iter().map(|(_, servers)| servers.len()).sum()
+    }
+
+    /// Sends a request and leaves the connection open.
+    pub(super) async fn send(&self, request_line: &str, headers: &str, body: &str) -> TcpStream {
+        let mut socket = TcpStream::connect(self.addr).await.unwrap();
+        let text = format!(
+            "{request_line} HTTP/1.1\r\nHost: entry\r\nConnection: close\r\nContent-Length: {}\r\n{headers}\r\n{body}",
+            body.len()
+        );
+        socket.write_all(text.as_bytes()).await.unwrap();
+        socket
+    }
+
+    /// Sends a request and reads the answer until the connection ends.
+    pub(super) async fn ask(&self, request_line: &str, headers: &str, body: &str) -> Answer {
+        read_answer(&mut self.send(request_line, headers, body).await).await
+    }
+
+    /// Asks for a completion.
+    pub(super) async fn chat(&self, stream: bool) -> Answer {
+        self.ask("POST /v1/chat/completions", "Fuchsiabay-Workspace: gate\r\n", &chat_body(stream)).await
+    }
+}
+
+pub(super) fn chat_body(stream: bool) -> String {
+    json!({
+        "model": "assistant", "messages": [{"role": "user", "content": "Write a slip."}], "stream": stream,
+        "stream_options": {"include_usage": true},
+    })
+    .to_string()
+}
+
+/// A response as it was on the wire.
+#[derive(Debug)]
+pub(super) struct Answer {
+    pub(super) status: u16,
+    head: String,
+    pub(super) body: String,
+}
+
+pub(super) async fn read_answer(socket: &mut TcpStream) -> Answer {
+    let mut bytes = Vec::new();
+    let mut buf = [0; 4096];
+    // An aborted connection may end in an error, and what came before it counts.
+    while let Ok(n @ 1..) = socket.read(&mut buf).await {
+        bytes.extend_from_slice(&buf[..n]);
+    }
+    let text = String::from_utf8(bytes).expect("the answer is UTF-8");
+    let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
+    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
+    Answer { status, head: head.to_ascii_lowercase(), body: body.to_owned() }
+}
+
+impl Answer {
+    pub(super) fn header(&self, name: &str) -> Option<&str> {
+        self.head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(": "))
+    }
+
+    /// Returns the text of a completion, streamed or not.
+    pub(super) fn text(&self) -> String {
+        if let Ok(whole) = serde_json::from_str::<Value>(&self.body) {
+            return whole["choices"][0]["message"]["content"].as_str().unwrap_or_default().to_owned();
+        }
+        let chunks = self.body.lines().filter_map(|line| line.strip_prefix("data: "));
+        let chunks = chunks.filter_map(|json| serde_json::from_str::<Value>(json).ok());
+        chunks.filter_map(|c| Some(c["choices"][0]["delta"]["content"].as_str()?.to_owned())).collect()
+    }
+
+    /// Returns whether a client takes a streamed answer for complete.
+    pub(super) fn is_complete(&self) -> bool {
+        self.body.contains("data: [DONE]\n\n") && self.body.ends_with("0\r\n\r\n")
+    }
+}
--- a/crates/fuchsiabay-routing/src/failure.rs
+++ b/crates/fuchsiabay-routing/src/failure.rs
@@ -29,6 +29,8 @@
     ConnectionLost,
     /// The agent sent an answer that contradicts itself.
     Protocol,
+    /// The request exceeds what one frame can carry.
+    TooLarge,
     /// The caller's deadline passed.
     DeadlinePassed,
     /// The caller closed its connection.
@@ -54,7 +56,8 @@
                     | AttemptError::ClaimHeld
                     | AttemptError::KeyReused
                     | AttemptError::KeyOutsideWindow
-            ) | Self::DeadlinePassed
+            ) | Self::TooLarge
+                | Self::DeadlinePassed
                 | Self::CallerGone
                 | Self::Quarantined
         )
--- a/crates/fuchsiabay-routing/src/request_machine.rs
+++ b/crates/fuchsiabay-routing/src/request_machine.rs
@@ -2,7 +2,7 @@
 
 use std::collections::VecDeque;
 
-use fuchsiabay_base::{AttemptId, Timestamp, Verdict, WriterId, invariant};
+use fuchsiabay_base::{AttemptId, Timestamp, Verdict, WriterId, invariant, mechanism};
 use fuchsiabay_wire::{AttemptError, End, PlainResponse, RefusalReason, Tokens};
 
 use crate::{Failure, FailureKind, NoServer, Standing, Transcript};
@@ -66,6 +66,11 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// The attempt exceeds the frame limit and was never sent.
+    TooLarge {
+        /// The attempt.
+        attempt: AttemptId,
+    },
     /// The agent did not answer in time, and its connection is still open.
     Unanswered {
         /// The attempt.
@@ -161,6 +166,7 @@
     kind: RequestKind,
     idempotent: bool,
     suspect: bool,
+    deadline: Timestamp,
     state: State<T>,
     transcript: Transcript,
     response: Option<PlainResponse>,
@@ -172,12 +178,13 @@
 }
 
 impl<T: Clone> RequestMachine<T> {
-    /// Builds the machine of a request. A `suspect` runs alone.
-    pub fn new(kind: RequestKind, idempotent: bool, suspect: bool) -> Self {
+    /// Builds the machine of a request, of which no attempt starts at or after `deadline`. A `suspect` runs alone.
+    pub fn new(kind: RequestKind, idempotent: bool, suspect: bool, deadline: Timestamp) -> Self {
         Self {
             kind,
             idempotent,
             suspect,
+            deadline,
             state: State::New,
             transcript: Transcript::default(),
             response: None,
@@ -246,6 +253,9 @@
             Event::NotSent { attempt } => {
                 self.on_attempt_failed(attempt, FailureKind::ConnectionLost, Verdict::NotRun, None, cx, now);
             }
+            Event::TooLarge { attempt } => {
+                self.on_attempt_failed(attempt, FailureKind::TooLarge, Verdict::NotRun, None, cx, now);
+            }
             Event::Unanswered { attempt } => {
                 self.cancel_current(attempt);
                 self.on_attempt_failed(
@@ -325,6 +335,7 @@
         match self.kind {
             RequestKind::Plain => self.finish_plain(end),
             RequestKind::Generate if end.total_tokens == self.transcript.position() => self.finish(),
+            RequestKind::Generate if !mechanism("total-tokens") => self.finish(),
             // Fewer tokens than the caller has cannot be repaired by a resumption.
             RequestKind::Generate if end.total_tokens < self.transcript.position() => {
                 self.fail(FailureKind::Protocol, Verdict::MayHaveRun, None);
@@ -377,7 +388,7 @@
         }
         let harmless = match verdict {
             Verdict::NotRun => true,
-            Verdict::MayHaveRun => self.idempotent,
+            Verdict::MayHaveRun => self.idempotent || !mechanism("retry-when-harmless"),
             Verdict::Ran => false,
         };
         let retry = harmless
@@ -402,6 +413,9 @@
         cx: &mut D,
         now: Timestamp,
     ) {
+        if now >= self.deadline {
+            return self.fail(FailureKind::DeadlinePassed, Verdict::NotRun, None);
+        }
         let target = match cx.place(&self.tried, now) {
             Ok(target) => target,
             Err(none) => return self.on_no_server(none, after, cx, now),
@@ -476,7 +490,11 @@
                 self.push_cancel(&attempt, false);
                 self.fail(FailureKind::CallerGone, Verdict::MayHaveRun, None);
             }
-            State::Cancelling(_) => self.fail(FailureKind::CallerGone, Verdict::MayHaveRun, None),
+            // The cancellation is repeated, because the one on its way may not have been sent.
+            State::Cancelling(attempt) => {
+                self.push_cancel(&attempt, false);
+                self.fail(FailureKind::CallerGone, Verdict::MayHaveRun, None);
+            }
             State::New | State::Waiting => self.fail(FailureKind::CallerGone, Verdict::NotRun, None),
             State::Done => {}
         }
@@ -532,6 +550,7 @@
     }
 
     fn is_attempting(&self, attempt: AttemptId) -> bool {
-        matches!(&self.state, State::Attempting(current) if current.id == attempt)
+        matches!(&self.state, State::Attempting(current)
+            if current.id == attempt || !mechanism("drop-late-frames"))
     }
 }
--- a/crates/fuchsiabay-routing/src/transcript.rs
+++ b/crates/fuchsiabay-routing/src/transcript.rs
@@ -1,5 +1,7 @@
 //! The part of an answer that has arrived.
 
+use fuchsiabay_base::mechanism;
+
 /// Why a frame cannot be appended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -60,7 +62,7 @@
     ///
     /// Fails without a change when tokens are missing or the frame contradicts what has arrived.
     pub fn append(&mut self, first: u32, count: u16, text: &[u8]) -> Result<usize, TranscriptError> {
-        if first > self.position {
+        if first > self.position && mechanism("contiguous-tokens") {
             return Err(TranscriptError::Gap { expected: self.position, first });
         }
         let Ok(text) = std::str::from_utf8(text) else {
@@ -71,7 +73,7 @@
         if end <= self.position {
             return Ok(start);
         }
-        let new = if first == self.position { text } else { self.new_part(first, text)? };
+        let new = if first >= self.position { text } else { self.new_part(first, text)? };
         self.last_frame = Mark { position: self.position, offset: start };
         self.text.push_str(new);
         self.position = end;
--- a/crates/fuchsiabay-routing/tests/requests.rs
+++ b/crates/fuchsiabay-routing/tests/requests.rs
@@ -59,6 +59,8 @@
     Response,
     Refused(RefusalReason),
     NotSent,
+    NotSentUntil(Timestamp),
+    TooLarge,
     Unanswered,
     Lost,
     Cancelled(Verdict),
@@ -67,6 +69,7 @@
 }
 use Step::*;
 
+const DEADLINE: Timestamp = Timestamp::from_millis(1_000);
 const CHAT: (RequestKind, bool) = (RequestKind::Generate, true);
 const LOOK_UP: (RequestKind, bool) = (RequestKind::Plain, true);
 const LOT_RELEASE: (RequestKind, bool) = (RequestKind::Plain, false);
@@ -106,6 +109,8 @@
             machine.handle(Event::Refused { attempt, reason: *reason, retry_at: now }, fake, now);
         }
         NotSent => machine.handle(Event::NotSent { attempt }, fake, now),
+        NotSentUntil(later) => machine.handle(Event::NotSent { attempt }, fake, *later),
+        TooLarge => machine.handle(Event::TooLarge { attempt }, fake, now),
         Unanswered => machine.handle(Event::Unanswered { attempt }, fake, now),
         Lost => machine.handle(Event::ConnectionLost { attempt }, fake, now),
         Cancelled(verdict) => {
@@ -142,7 +147,7 @@
 
 fn check((kind, idempotent): (RequestKind, bool), steps: &[Step], expected: &str) {
     let mut fake = Fake { servers: 3, retries: 10, attempts: 0, crashes: 0 };
-    let mut machine = RequestMachine::new(kind, idempotent, false);
+    let mut machine = RequestMachine::new(kind, idempotent, false, DEADLINE);
     let mut log = Vec::new();
     machine.handle(Event::Start, &mut fake, Timestamp::ZERO);
     drain(&mut machine, &mut fake, &mut log);
@@ -201,6 +206,8 @@
     lot_release_unanswered: LOT_RELEASE, [Unanswered]
         => "submit 1@0, cancel 1, fail ConnectionLost may-have-run";
     lot_release_not_sent: LOT_RELEASE, [NotSent, Response] => "submit 1@0, submit 2@0, finish";
+    not_sent_until_the_deadline: CHAT, [NotSentUntil(DEADLINE)] => "submit 1@0, fail DeadlinePassed not-run";
+    too_large_for_every_agent: CHAT, [TooLarge] => "submit 1@0, fail TooLarge not-run";
     lot_release_handed_back: LOT_RELEASE, [Error(AttemptError::Draining, Verdict::NotRun), Response]
         => "submit 1@0, submit 2@0, finish";
     lot_release_refused: LOT_RELEASE, [Refused(RefusalReason::QueueFull), Response]
@@ -231,7 +238,7 @@
         CallerGone,
     ];
     let mut fake = Fake { servers: 20, retries: 100, attempts: 0, crashes: 0 };
-    let mut machine = RequestMachine::new(RequestKind::Plain, false, false);
+    let mut machine = RequestMachine::new(RequestKind::Plain, false, false, DEADLINE);
     let (mut log, mut may_have_run) = (Vec::new(), false);
     machine.handle(Event::Start, &mut fake, Timestamp::ZERO);
     drain(&mut machine, &mut fake, &mut log);
