Give the simulated requests their deadline

The machine of a request takes its deadline since the entry daemon landed, and the randomised run of the claims did not pass it, so the workspace did not build.

--- a/crates/fuchsiabay-bench/src/engine/cache.rs
+++ b/crates/fuchsiabay-bench/src/engine/cache.rs
@@ -15,14 +15,16 @@
 /// Cache events that are kept for readers.
 const EVENTS_KEPT: usize = 10_000;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum CacheChange {
     Stored,
     Evicted,
 }
 
-#[derive(Clone, Debug, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
 pub(crate) struct CacheEvent {
     pub(crate) seq: u64,
     change: CacheChange,
--- a/crates/fuchsiabay-bench/src/engine/group.rs
+++ b/crates/fuchsiabay-bench/src/engine/group.rs
@@ -8,7 +8,8 @@
 use serde::{Deserialize, Serialize};
 
 /// A permission of one rank to run steps up to `through_step` on `map`.
-#[derive(Clone, Copy, Debug, Deserialize)]
+#[derive(Clone, Copy, Debug)]
+#[derive(Deserialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Permit {
     pub(crate) rank: usize,
@@ -16,7 +17,8 @@
     pub(crate) through_step: u64,
 }
 
-#[derive(Debug, Default, Serialize)]
+#[derive(Debug, Default)]
+#[derive(Serialize)]
 struct Rank {
     through_step: u64,
     /// Maps by the last step that each holds for.
@@ -26,7 +28,8 @@
 }
 
 /// A group of ranks. A step runs when every rank has a permit for it. Steps count from 1.
-#[derive(Debug, Default, Serialize)]
+#[derive(Debug, Default)]
+#[derive(Serialize)]
 pub(crate) struct Group {
     step: u64,
     map: u64,
--- a/crates/fuchsiabay-bench/src/engine/load_history.rs
+++ b/crates/fuchsiabay-bench/src/engine/load_history.rs
@@ -7,7 +7,8 @@
 
 use serde::Serialize;
 
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Serialize)]
 pub(crate) struct Load {
     pub(crate) running: usize,
     pub(crate) waiting: usize,
--- a/crates/fuchsiabay-bench/src/engine/orders.rs
+++ b/crates/fuchsiabay-bench/src/engine/orders.rs
@@ -7,7 +7,8 @@
 use super::Fencing;
 
 /// An absolute order: `kind` says what to set and `target` to which value.
-#[derive(Clone, Debug, Deserialize, Serialize)]
+#[derive(Clone, Debug)]
+#[derive(Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
 pub(crate) struct Order {
     pub(crate) fence: u64,
@@ -15,7 +16,8 @@
     pub(crate) target: String,
 }
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+#[derive(Deserialize, Serialize)]
 #[serde(rename_all = "kebab-case")]
 pub(crate) enum OrderKind {
     LoadModel,
@@ -25,7 +27,8 @@
 }
 
 /// What the orders so far have set, for read-back.
-#[derive(Debug, Default, Serialize)]
+#[derive(Debug, Default)]
+#[derive(Serialize)]
 pub(crate) struct Orders {
     highest_fence: u64,
     targets: BTreeMap<OrderKind, Order>,
--- a/crates/fuchsiabay-bench/src/load/client.rs
+++ b/crates/fuchsiabay-bench/src/load/client.rs
@@ -215,7 +215,8 @@
         #[serde(default)]
         delta: Delta,
     }
-    #[derive(Default, Deserialize)]
+    #[derive(Default)]
+    #[derive(Deserialize)]
     struct Delta {
         content: Option<String>,
     }
--- a/crates/fuchsiabay-bench/src/log.rs
+++ b/crates/fuchsiabay-bench/src/log.rs
@@ -40,7 +40,8 @@
 }
 
 /// Faults, switched by `POST /faults`. Fields that are left out are off.
-#[derive(Clone, Copy, Debug, Default, Deserialize, Serialize)]
+#[derive(Clone, Copy, Debug, Default)]
+#[derive(Deserialize, Serialize)]
 #[serde(default, deny_unknown_fields)]
 pub struct LogFaults {
     /// Refuses every request with 503, without effect.
@@ -53,7 +54,8 @@
     pub lose_answers: u32,
 }
 
-#[derive(Clone, Serialize)]
+#[derive(Clone)]
+#[derive(Serialize)]
 struct Record {
     offset: u64,
     at_ms: u64,
--- a/crates/fuchsiabay-prove/src/claims_world.rs
+++ b/crates/fuchsiabay-prove/src/claims_world.rs
@@ -235,13 +235,14 @@
         let claim_key =
             ClaimKey { key: IdempotencyKey::from_parts(issued_at, u128::from(key)), workspace: "w".into() };
         let call = self.calls.len();
+        let deadline = self.now().plus_millis(deadline_ms);
         self.calls.push(Call {
             key,
             claim_key,
             body,
             first_agent: agent,
-            deadline: self.now().plus_millis(deadline_ms),
-            machine: RequestMachine::new(RequestKind::Plain, false, false),
+            deadline,
+            machine: RequestMachine::new(RequestKind::Plain, false, false, deadline),
             attempts: Vec::new(),
             result: None,
         });
