Keep the control traffic of a node within its budget

At the design target an entry instance would have polled the load of 600 agents twice a second (about 480 KB/s at 400 bytes a poll) and the whole instance list of 950 entries once a second (about 160 KB/s), while a node may spend 27 KB/s on control. Entry instances now connect to at most 64 agents, chosen by rendezvous hash with two thirds in their own zone, and stretch the interval of load polls to a budget of 10 KB/s.

Measured: with 350 entry instances and 600 agents every entry instance has 64 connections and every agent at least 10; the byte figures above are computed from message sizes, not measured.

--- a/crates/fuchsiabay-agent/src/leaving.rs
+++ b/crates/fuchsiabay-agent/src/leaving.rs
@@ -7,9 +7,6 @@
 
 use crate::{Agent, ConfigView};
 
-/// The interval of fetches, in milliseconds. Together with the lag of the list it must stay within a few seconds.
-const FETCH_MS: u64 = 1_000;
-
 /// The time that a fetch may take, in milliseconds.
 const FETCH_TIMEOUT_MS: u64 = 1_000;
 
@@ -17,9 +14,9 @@
 pub(crate) async fn watch<C: ConfigView>(agent: Arc<Agent<C>>) {
     let list = ListClient::new(&agent.params.list_url);
     loop {
-        let next_fetch = monotonic_now().plus_millis(FETCH_MS);
-        match list.fetch(monotonic_now().plus_millis(FETCH_TIMEOUT_MS)).await {
-            Ok(instances) => {
+        match list.fetch_changed(monotonic_now().plus_millis(FETCH_TIMEOUT_MS)).await {
+            Ok(None) => {}
+            Ok(Some(instances)) => {
                 let identity = &agent.params.identity;
                 if is_leaving(&instances, &identity.instance, identity.generation) {
                     agent.leave();
@@ -28,7 +25,7 @@
             }
             Err(error) => log::debug!("agent: {error}"),
         }
-        sleep_until(next_fetch).await;
+        sleep_until(list.next_poll()).await;
     }
 }
 
--- a/crates/fuchsiabay-bench/src/list.rs
+++ b/crates/fuchsiabay-bench/src/list.rs
@@ -9,8 +9,9 @@
 use parking_lot::Mutex;
 use serde::Deserialize;
 use serde_json::{Value, json};
-use trillium::{Conn, Handler, Status};
+use trillium::{Conn, Handler, KnownHeaderName, Status};
 use trillium_router::Router;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::server::{body, json, problem, with};
 
@@ -60,7 +61,11 @@
             }
             json!({ "instances": state.shown })
         };
-        json(conn, Status::Ok, &shown)
+        let etag = format!("\"{:016x}\"", xxh3_64(shown.to_string().as_bytes()));
+        if conn.request_headers().get_str(KnownHeaderName::IfNoneMatch) == Some(etag.as_str()) {
+            return conn.with_status(Status::NotModified).halt();
+        }
+        json(conn.with_response_header(KnownHeaderName::Etag, etag), Status::Ok, &shown)
     }
 
     async fn set(mut conn: Conn, list: Arc<Self>) -> Conn {
--- a/crates/fuchsiabay-entry/src/membership.rs
+++ b/crates/fuchsiabay-entry/src/membership.rs
@@ -2,11 +2,14 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, atomic::Ordering},
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
 };
 
 use fuchsiabay_base::{InstanceId, Timestamp, WriterId};
-use fuchsiabay_routing::Member;
+use fuchsiabay_routing::{Candidate, Member, choose_links};
 use fuchsiabay_runtime::{Instance, InstanceState, ListClient, Peer, monotonic_now, sleep_until, spawn};
 use fuchsiabay_wire::{LoadReport, Role};
 use parking_lot::Mutex;
@@ -18,14 +21,16 @@
     entry::Entry,
 };
 
-/// The interval of reads of the instance list, in milliseconds.
-const LIST_POLL_MS: u64 = 1_000;
 /// The time that the list has to answer, in milliseconds.
 const LIST_TIMEOUT_MS: u64 = 900;
 /// The time that a connection to an agent may take, in milliseconds.
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
-/// The interval of load reports, in milliseconds. Reports in replies make the poll unnecessary under traffic.
+/// The shortest interval of load reports, in milliseconds. Reports in replies make the poll unnecessary under traffic.
 const LOAD_POLL_MS: u64 = 500;
+/// The bytes of one poll on the wire, both ways.
+const LOAD_POLL_BYTES: u64 = 400;
+/// What all load polls may cost, in bytes per second. A node may spend 27 KB/s on control.
+const LOAD_BYTES_PER_SECOND: u64 = 10_000;
 /// The time that an agent has to report its load, in milliseconds.
 const LOAD_TIMEOUT_MS: u64 = 2_000;
 
@@ -36,6 +41,8 @@
 pub(crate) struct Membership<C> {
     entry: Arc<Entry<C>>,
     agents: Mutex<HashMap<InstanceId, Agent>>,
+    /// The present interval of load polls, in milliseconds.
+    load_poll_ms: AtomicU64,
 }
 
 /// A live agent of the list.
@@ -52,20 +59,21 @@
 
 impl<C: ConfigSource> Membership<C> {
     pub(crate) fn new(entry: Arc<Entry<C>>) -> Arc<Self> {
-        Arc::new(Self { entry, agents: Mutex::default() })
+        Arc::new(Self { entry, agents: Mutex::default(), load_poll_ms: AtomicU64::new(LOAD_POLL_MS) })
     }
 
     /// Polls the instance list for ever. A list that fails leaves the last one in use.
     pub(crate) async fn run(self: Arc<Self>, list: ListClient, members: Sender<Vec<Instance>>) {
         let mut failed = false;
         loop {
-            let next_poll = monotonic_now().plus_millis(LIST_POLL_MS);
-            match list.fetch(monotonic_now().plus_millis(LIST_TIMEOUT_MS)).await {
-                Ok(instances) => {
+            match list.fetch_changed(monotonic_now().plus_millis(LIST_TIMEOUT_MS)).await {
+                Ok(Some(instances)) => {
                     failed = false;
                     self.apply(&instances);
-                    let _ = members.try_send(instances);
+                    // The receiver must not miss a list, because an unchanged one is not fetched again.
+                    let _ = members.send(instances).await;
                 }
+                Ok(None) => failed = false,
                 Err(error) if !failed => {
                     failed = true;
                     log::warn!("entry: {error}; the last instance list stays in use");
@@ -74,7 +82,7 @@
             }
             self.dial();
             self.entry.router.mark_stragglers();
-            sleep_until(next_poll).await;
+            sleep_until(list.next_poll()).await;
         }
     }
 
@@ -83,12 +91,20 @@
         let live = |i: &&Instance| i.state == InstanceState::Live;
         let entries = instances.iter().filter(live).filter(|i| i.role == Role::Entry).count();
         self.entry.live_entries.store(entries.max(1) as u64, Ordering::Relaxed);
-        let wanted: HashMap<&InstanceId, &Instance> = instances
+        let live_agents: HashMap<&InstanceId, &Instance> = instances
             .iter()
             .filter(live)
             .filter(|i| i.role == Role::Agent && i.service.is_some())
             .map(|i| (&i.id, i))
             .collect();
+        let candidates = live_agents
+            .values()
+            .filter_map(|i| Some(Candidate { service: i.service.as_ref()?, zone: &i.zone, id: &i.id }));
+        let identity = &self.entry.identity;
+        let links = choose_links(&identity.instance, &identity.zone, candidates);
+        let wanted: HashMap<&InstanceId, &Instance> =
+            links.into_iter().map(|id| (id, live_agents[id])).collect();
+        self.load_poll_ms.store(load_poll_ms(wanted.len() as u64), Ordering::Relaxed);
         let mut agents = self.agents.lock();
         agents.retain(|id, _| wanted.contains_key(id));
         for (id, instance) in wanted {
@@ -151,13 +167,14 @@
     async fn watch(&self, server: &Target, peer: &Peer) {
         let mut idle_polls = 0;
         while !peer.is_closed() {
-            let next_poll = monotonic_now().plus_millis(LOAD_POLL_MS);
+            let poll_ms = self.load_poll_ms.load(Ordering::Relaxed);
+            let next_poll = monotonic_now().plus_millis(poll_ms);
             let idle = !self.is_routed(server) && server.link().open_attempts() == 0;
             idle_polls = if idle { idle_polls + 1 } else { 0 };
             if idle_polls == IDLE_POLLS_BEFORE_CLOSE {
                 return;
             }
-            if server.load().reported_at.plus_millis(LOAD_POLL_MS) <= monotonic_now() {
+            if server.load().reported_at.plus_millis(poll_ms) <= monotonic_now() {
                 let deadline = monotonic_now().plus_millis(LOAD_TIMEOUT_MS);
                 if let Ok(report) = peer.call::<_, LoadReport>("load", &(), deadline).await {
                     server.apply_report(report, monotonic_now());
@@ -225,3 +242,8 @@
         services.any(|(_, servers)| servers.iter().any(|s| Arc::ptr_eq(s, server)))
     }
 }
+
+/// Returns the interval of load polls that keeps `links` connections within the budget, in milliseconds.
+fn load_poll_ms(links: u64) -> u64 {
+    (links * LOAD_POLL_BYTES * 1_000 / LOAD_BYTES_PER_SECOND).max(LOAD_POLL_MS)
+}
--- a/crates/fuchsiabay-routing/src/lib.rs
+++ b/crates/fuchsiabay-routing/src/lib.rs
@@ -15,6 +15,7 @@
 mod retry_budget;
 mod router;
 mod server;
+mod subset;
 mod transcript;
 mod workspace_limiter;
 
@@ -26,5 +27,6 @@
 pub use retry_budget::RetryBudget;
 pub use router::{Member, NoServer, Pick, Router, Servers};
 pub use server::Server;
+pub use subset::{Candidate, choose_links};
 pub use transcript::{Transcript, TranscriptError};
 pub use workspace_limiter::WorkspaceLimiter;
--- /dev/null
+++ b/crates/fuchsiabay-routing/tests/subset.rs
@@ -0,0 +1,64 @@
+//! The connections of one entry instance stay within their limit and cover every agent.
+
+use std::collections::HashMap;
+
+use fuchsiabay_base::{InstanceId, ServiceName, ZoneName};
+use fuchsiabay_routing::{Candidate, choose_links};
+
+struct Fleet(Vec<(ServiceName, ZoneName, InstanceId)>);
+
+impl Fleet {
+    fn new(services: usize, zones: usize, agents: usize) -> Self {
+        let agent = |i: usize| {
+            let service = ServiceName::new(format!("service-{}", i % services));
+            let zone = ZoneName::new(format!("zone-{}", i / services % zones));
+            (service, zone, InstanceId::new(format!("agent-{i}")))
+        };
+        Self((0..agents).map(agent).collect())
+    }
+
+    fn links(&self, entry: usize, zones: usize) -> Vec<&InstanceId> {
+        let own = InstanceId::new(format!("entry-{entry}"));
+        let zone = ZoneName::new(format!("zone-{}", entry % zones));
+        choose_links(&own, &zone, self.0.iter().map(|(service, zone, id)| Candidate { service, zone, id }))
+    }
+}
+
+/// Checks the number of links of an entry instance, and the fewest entry instances that an agent has.
+fn check(services: usize, zones: usize, agents: usize, entries: usize, links: usize, fewest: usize) {
+    let fleet = Fleet::new(services, zones, agents);
+    let mut per_agent: HashMap<&InstanceId, usize> = fleet.0.iter().map(|(.., id)| (id, 0)).collect();
+    for entry in 0..entries {
+        let chosen = fleet.links(entry, zones);
+        assert_eq!(chosen.len(), links);
+        for id in chosen {
+            *per_agent.get_mut(id).unwrap() += 1;
+        }
+    }
+    let least = per_agent.values().min().copied().unwrap();
+    assert!(least >= fewest, "an agent has only {least} entry instances");
+}
+
+macro_rules! cases {
+    ($($name:ident: $services:expr, $zones:expr, $agents:expr, $entries:expr => $links:expr, $fewest:expr;)+) => {
+        $(#[test] fn $name() { check($services, $zones, $agents, $entries, $links, $fewest); })+
+    };
+}
+
+// A small deployment connects everybody; a large one must neither pass the limit nor leave an agent without work.
+cases! {
+    one_deployment_of_today: 2, 3, 32, 4 => 32, 4;
+    one_agent: 1, 1, 1, 2 => 1, 2;
+    design_target: 4, 6, 600, 350 => 64, 10;
+}
+
+// A leaving agent must not reshuffle the connections of everybody.
+#[test]
+fn a_leaving_agent_changes_one_link() {
+    let mut fleet = Fleet::new(4, 6, 600);
+    let before: Vec<InstanceId> = fleet.links(7, 6).into_iter().cloned().collect();
+    let leaving = before[0].clone();
+    fleet.0.retain(|(.., id)| *id != leaving);
+    let after: Vec<InstanceId> = fleet.links(7, 6).into_iter().cloned().collect();
+    assert_eq!(before.iter().filter(|id| !after.contains(id)).count(), 1);
+}
--- a/crates/fuchsiabay-runtime/src/platform_http.rs
+++ b/crates/fuchsiabay-runtime/src/platform_http.rs
@@ -37,12 +37,14 @@
 pub(crate) struct Response {
     pub(crate) status: Status,
     pub(crate) body: String,
+    /// The version of the resource, if the service states one.
+    pub(crate) etag: Option<String>,
 }
 
 impl Response {
     /// Returns the body of a successful response.
-    fn success(self) -> Result<String, ExchangeError> {
-        let Self { status, body } = self;
+    pub(crate) fn success(self) -> Result<String, ExchangeError> {
+        let Self { status, body, .. } = self;
         if status.is_success() {
             return Ok(body);
         }
@@ -80,6 +82,20 @@
         exchange(conn, deadline).await
     }
 
+    /// Reads `path` unless it still has the version `etag`.
+    pub(crate) async fn fetch_if_changed(
+        &self,
+        path: &str,
+        etag: Option<&str>,
+        deadline: Timestamp,
+    ) -> Result<Response, ExchangeError> {
+        let mut conn = self.client.get(format!("{}{path}", self.base));
+        if let Some(etag) = etag {
+            conn = conn.with_request_header(KnownHeaderName::IfNoneMatch, etag.to_owned());
+        }
+        exchange(conn, deadline).await
+    }
+
     /// Sends the JSON text `body` to `path`.
     pub(crate) async fn post(
         &self,
@@ -113,6 +129,7 @@
     let Some(status) = conn.status() else {
         return Err(ExchangeError::Unknown("a response without a status".into()));
     };
+    let etag = conn.response_headers().get_str(KnownHeaderName::Etag).map(str::to_owned);
     let body = conn
         .response_body()
         .with_max_len(MAX_RESPONSE_BYTES)
@@ -120,7 +137,7 @@
         .await
         .map_err(|error| ExchangeError::Unknown(error.to_string()))?;
     conn.recycle().await;
-    Ok(Response { status, body })
+    Ok(Response { status, body, etag })
 }
 
 /// A refused connection and an unusable address prove that no byte of the request was written. Every other
