Add the chores demo and bench

'cargo xtask demo' starts entry instances, agents and stand-ins as processes on loopback, publishes a configuration and checks every promise under load and faults.

--- /dev/null
+++ b/xtask/src/cluster.rs
@@ -0,0 +1,419 @@
+//! Entry instances, agents and stand-ins of the platform as processes on loopback.
+
+use std::{
+    fs,
+    io::{self, Read},
+    net::{SocketAddr, TcpListener},
+    path::{Path, PathBuf},
+    process::Command,
+    thread,
+    time::{Duration, Instant},
+};
+
+use serde_json::{Value, json};
+
+use crate::{
+    byte_meter::ByteMeter,
+    process::Process,
+    steps::{StepError, cargo},
+};
+
+/// The programs that a cluster runs.
+const PACKAGES: [&str; 4] = ["fuchsiabay", "fuchsiabay-entry", "fuchsiabay-agent", "fuchsiabay-bench"];
+const ZONES: [&str; 3] = ["dakar-a", "dakar-b", "dakar-c"];
+/// The published configuration.
+const CONFIGURATION: &str = "examples/dakar/configuration.jsonc";
+/// How long everything may take to become ready.
+const READY_LIMIT: Duration = Duration::from_secs(20);
+const POLL: Duration = Duration::from_millis(100);
+
+/// The build profile of the programs.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Profile {
+    /// Quick to build.
+    Dev,
+    /// Quick to run.
+    Release,
+}
+
+/// What a cluster consists of.
+#[derive(Clone, Debug)]
+pub(crate) struct Plan {
+    pub(crate) profile: Profile,
+    pub(crate) entries: usize,
+    pub(crate) engines: usize,
+    pub(crate) services: usize,
+    pub(crate) slots: u32,
+    /// Arguments of each engine stand-in.
+    pub(crate) engine_args: Vec<String>,
+    /// Arguments of each plain service stand-in.
+    pub(crate) service_args: Vec<String>,
+}
+
+/// An entry instance or an agent.
+pub(crate) struct Daemon {
+    pub(crate) process: Process,
+    program: &'static str,
+    settings: PathBuf,
+    listed: Value,
+    ops: SocketAddr,
+    /// Where callers reach an entry instance.
+    pub(crate) url: String,
+}
+
+/// A stand-in of a platform service.
+pub(crate) struct StandIn {
+    pub(crate) process: Process,
+    args: Vec<String>,
+    pub(crate) url: String,
+}
+
+/// A running cluster. Dropping it stops every process.
+pub(crate) struct Cluster {
+    bin: PathBuf,
+    dir: PathBuf,
+    keep_dir: bool,
+    pub(crate) log: StandIn,
+    pub(crate) list: StandIn,
+    pub(crate) engines: Vec<StandIn>,
+    pub(crate) services: Vec<StandIn>,
+    pub(crate) entries: Vec<Daemon>,
+    /// The agents of the engines, then those of the plain services.
+    pub(crate) agents: Vec<Daemon>,
+}
+
+impl Cluster {
+    /// Builds the programs, starts everything, publishes the configuration and waits until it is in force.
+    pub(crate) fn start(plan: &Plan) -> Result<Self, StepError> {
+        let bin = build(plan.profile, &PACKAGES)?;
+        let dir = std::env::temp_dir().join(format!("fuchsiabay-{}", std::process::id()));
+        fs::create_dir_all(&dir).map_err(io_error("create the temporary directory"))?;
+        let start = |name: &str, args: &[String]| StandIn::start(&bin, &dir, name, args);
+        let log = start("log", &strings(&["log"]))?;
+        let list = start("list", &strings(&["list"]))?;
+        let engine_args =
+            [strings(&["engine", "--slots", &plan.slots.to_string()]), plan.engine_args.clone()];
+        let service_args = [strings(&["service"]), plan.service_args.clone()];
+        let engines = (0..plan.engines).map(|i| start(&format!("engine-{i}"), &engine_args.concat()));
+        let engines = engines.collect::<Result<Vec<_>, _>>()?;
+        let services = (0..plan.services).map(|i| start(&format!("service-{i}"), &service_args.concat()));
+        let services = services.collect::<Result<Vec<_>, _>>()?;
+        let mut cluster =
+            Self { bin, dir, keep_dir: true, log, list, engines, services, entries: vec![], agents: vec![] };
+        cluster.start_daemons(plan)?;
+        cluster.set_list(|_| true)?;
+        cluster.publish()?;
+        cluster.await_ready()?;
+        Ok(cluster)
+    }
+
+    /// Sets the list of instances to those for which `keep` holds, by their names.
+    pub(crate) fn set_list(&self, keep: impl Fn(&str) -> bool) -> Result<(), StepError> {
+        let daemons = self.entries.iter().chain(&self.agents);
+        let kept = daemons.filter(|daemon| keep(daemon.process.name())).map(|daemon| &daemon.listed);
+        let body = json!({ "instances": kept.collect::<Vec<_>>() });
+        self.call("POST", &format!("{}/instances", self.list.url), Some(&body)).map(|_| ())
+    }
+
+    /// Puts a byte meter between the entry instances and each agent and waits until they are in use.
+    pub(crate) fn meter_agents(&mut self) -> Result<Vec<ByteMeter>, StepError> {
+        let mut meters = Vec::new();
+        for agent in &mut self.agents {
+            let target = agent.listed["peer"].as_str().unwrap_or_default().parse();
+            let target = target.map_err(|_| StepError::Check("no peer address".into()))?;
+            let meter = ByteMeter::start(target).map_err(io_error("start a byte meter"))?;
+            agent.listed["peer"] = json!(meter.address());
+            meters.push(meter);
+        }
+        self.set_list(|_| true)?;
+        let deadline = Instant::now() + READY_LIMIT;
+        while meters.iter().any(|meter| meter.received() == 0) {
+            if Instant::now() >= deadline {
+                return Err(StepError::Check(
+                    "an entry instance does not use the new address of an agent".into(),
+                ));
+            }
+            thread::sleep(POLL);
+        }
+        Ok(meters)
+    }
+
+    /// Builds the load generator and stand-ins alone, runs them with `args` and returns the output.
+    pub(crate) fn run_bench(args: &[String]) -> Result<String, StepError> {
+        let bin = build(Profile::Release, &["fuchsiabay-bench"])?;
+        let output = Command::new(bin.join("fuchsiabay-bench")).args(args).output();
+        let output = output.map_err(io_error("run `fuchsiabay-bench`"))?;
+        if !output.status.success() {
+            return Err(StepError::Failed("fuchsiabay-bench".into(), output.status));
+        }
+        Ok(String::from_utf8_lossy(&output.stdout).into_owned())
+    }
+
+    /// Sets the faults of the log.
+    pub(crate) fn set_log_faults(&self, faults: &Value) -> Result<(), StepError> {
+        self.call("POST", &format!("{}/faults", self.log.url), Some(faults)).map(|_| ())
+    }
+
+    /// Starts an engine again at its old address.
+    pub(crate) fn restart_engine(&mut self, i: usize) -> Result<(), StepError> {
+        let (bin, dir) = (&self.bin, &self.dir);
+        let engine = &mut self.engines[i];
+        engine.process.kill();
+        let port = engine.url.rsplit(':').next().unwrap_or_default().to_owned();
+        let args = [engine.args.clone(), strings(&["--port", &port])].concat();
+        *engine = StandIn::start(bin, dir, &format!("engine-{i}"), &args)?;
+        Ok(())
+    }
+
+    /// Starts an agent again under its old name.
+    pub(crate) fn restart_agent(&mut self, i: usize) -> Result<(), StepError> {
+        let (bin, dir) = (&self.bin, &self.dir);
+        let agent = &mut self.agents[i];
+        agent.process.kill();
+        agent.process = start_daemon(bin, dir, agent.program, agent.process.name(), &agent.settings)?;
+        Ok(())
+    }
+
+    /// Starts the load generator with `args` besides the addresses of the entry instances and plain services.
+    pub(crate) fn start_load(&self, args: &[String]) -> Result<Process, StepError> {
+        let mut all = strings(&["load"]);
+        for entry in &self.entries {
+            all.extend(strings(&["--entry", &entry.url]));
+        }
+        for service in &self.services {
+            all.extend(strings(&["--effects", &service.url]));
+        }
+        all.extend_from_slice(args);
+        self.start_direct_load(&all)
+    }
+
+    /// Starts the load generator with exactly `args`.
+    pub(crate) fn start_direct_load(&self, args: &[String]) -> Result<Process, StepError> {
+        Process::start("load", &self.bin.join("fuchsiabay-bench"), args, &self.dir.join("load.log"))
+            .map_err(io_error("start the load generator"))
+    }
+
+    /// Sends one request and returns the response body. A response other than a success is an error.
+    pub(crate) fn call(&self, method: &str, url: &str, body: Option<&Value>) -> Result<String, StepError> {
+        let mut command = Command::new(self.bin.join("fuchsiabay-bench"));
+        command.args(["call", method, url]);
+        if let Some(body) = body {
+            command.arg(body.to_string());
+        }
+        let output = command.output().map_err(io_error("call a process"))?;
+        let text = String::from_utf8_lossy(&output.stdout).into_owned();
+        if !output.status.success() {
+            let error = String::from_utf8_lossy(&output.stderr);
+            return Err(StepError::Check(format!("{method} {url}: {text}{error}")));
+        }
+        Ok(text)
+    }
+
+    /// Returns the metrics of a daemon.
+    pub(crate) fn metrics(&self, daemon: &Daemon) -> Result<String, StepError> {
+        self.call("GET", &format!("http://{}/metrics", daemon.ops), None)
+    }
+
+    /// Checks that no daemon that still runs has counted a violated invariant.
+    pub(crate) fn check_invariants(&self, runs: impl Fn(&str) -> bool) -> Result<(), StepError> {
+        let daemons = self.entries.iter().chain(&self.agents);
+        for daemon in daemons.filter(|daemon| runs(daemon.process.name())) {
+            let metrics = self.metrics(daemon)?;
+            let violation = metrics.lines().find(|line| {
+                line.starts_with("fuchsiabay_invariant_violations_total") && !line.ends_with(" 0")
+            });
+            if let Some(line) = violation {
+                return Err(StepError::Check(format!("{}: {line}", daemon.process.name())));
+            }
+        }
+        Ok(())
+    }
+
+    /// Stops every process and removes the directory with its settings and logs.
+    pub(crate) fn finish(mut self) {
+        self.keep_dir = false;
+    }
+
+    fn start_daemons(&mut self, plan: &Plan) -> Result<(), StepError> {
+        let ports = free_addresses(3 * plan.entries + 2 * (plan.engines + plan.services))?;
+        let mut ports = ports.into_iter();
+        let mut next = || ports.next().unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
+        for i in 0..plan.entries {
+            let (listen, peer, ops) = (next(), next(), next());
+            let mut settings = self.common_settings(&format!("entry-{i}"), i, peer, ops);
+            settings["listen"] = json!(listen);
+            self.entries.push(self.start_daemon("fuchsiabay-entry", settings, None)?);
+        }
+        for i in 0..plan.engines + plan.services {
+            let (peer, ops) = (next(), next());
+            let engine = i < plan.engines;
+            let (kind, service, url, name) = if engine {
+                ("model", "assistant", &self.engines[i].url, format!("engine-agent-{i}"))
+            } else {
+                let i = i - plan.engines;
+                ("plain", "booking", &self.services[i].url, format!("service-agent-{i}"))
+            };
+            let backend = json!({ "kind": kind, "service": service, "url": url, "slots": plan.slots });
+            let mut settings = self.common_settings(&name, i, peer, ops);
+            settings["backend"] = backend;
+            self.agents.push(self.start_daemon("fuchsiabay-agent", settings, Some(service))?);
+        }
+        Ok(())
+    }
+
+    fn common_settings(&self, name: &str, i: usize, peer: SocketAddr, ops: SocketAddr) -> Value {
+        json!({
+            "instance": name,
+            "zone": ZONES[i % ZONES.len()],
+            "region": "dakar",
+            "peer_listen": peer,
+            "ops_listen": ops,
+            "log_url": self.log.url,
+            "list_url": self.list.url,
+            "shared_key": "key-of-a-demo-on-loopback",
+        })
+    }
+
+    fn start_daemon(
+        &self,
+        program: &'static str,
+        settings: Value,
+        service: Option<&str>,
+    ) -> Result<Daemon, StepError> {
+        let name = settings["instance"].as_str().unwrap_or_default().to_owned();
+        let path = self.dir.join(format!("{name}.jsonc"));
+        fs::write(&path, settings.to_string()).map_err(io_error("write settings"))?;
+        let mut listed = json!({
+            "id": name,
+            "role": if service.is_some() { "agent" } else { "entry" },
+            "zone": settings["zone"],
+            "peer": settings["peer_listen"],
+            // The platform does not know the life of an instance; its peers learn it from the handshake.
+            "generation": 1,
+            "state": "live",
+        });
+        if let Some(service) = service {
+            listed["service"] = json!(service);
+        }
+        let address = |field: &str| settings[field].as_str().unwrap_or_default();
+        Ok(Daemon {
+            process: start_daemon(&self.bin, &self.dir, program, &name, &path)?,
+            program,
+            settings: path,
+            listed,
+            ops: address("ops_listen")
+                .parse()
+                .map_err(|_| StepError::Check("no operators' address".into()))?,
+            url: format!("http://{}", address("listen")),
+        })
+    }
+
+    fn publish(&self) -> Result<(), StepError> {
+        let output = Command::new(self.bin.join("fuchsiabay"))
+            .args(["publish", "--log-url", &self.log.url, CONFIGURATION])
+            .output()
+            .map_err(io_error("run `fuchsiabay publish`"))?;
+        if !output.status.success() {
+            let text = String::from_utf8_lossy(&output.stdout).into_owned();
+            return Err(StepError::Check(format!(
+                "`fuchsiabay publish` failed: {text}{}",
+                String::from_utf8_lossy(&output.stderr)
+            )));
+        }
+        Ok(())
+    }
+
+    fn await_ready(&self) -> Result<(), StepError> {
+        let deadline = Instant::now() + READY_LIMIT;
+        for daemon in self.entries.iter().chain(&self.agents) {
+            let url = format!("http://{}/readyz", daemon.ops);
+            while let Err(error) = self.call("GET", &url, None) {
+                if Instant::now() >= deadline {
+                    let name = daemon.process.name();
+                    return Err(StepError::Check(format!("{name} did not become ready: {error}")));
+                }
+                thread::sleep(POLL);
+            }
+        }
+        Ok(())
+    }
+}
+
+impl Drop for Cluster {
+    fn drop(&mut self) {
+        let stand_ins = [&mut self.log, &mut self.list].into_iter();
+        let stand_ins = stand_ins.chain(&mut self.engines).chain(&mut self.services);
+        let daemons = self.entries.iter_mut().chain(&mut self.agents).map(|daemon| &mut daemon.process);
+        daemons.chain(stand_ins.map(|stand_in| &mut stand_in.process)).for_each(Process::kill);
+        if self.keep_dir {
+            eprintln!("xtask: settings and logs are kept in {}", self.dir.display());
+            return;
+        }
+        let _ = fs::remove_dir_all(&self.dir);
+    }
+}
+
+impl StandIn {
+    fn start(bin: &Path, dir: &Path, name: &str, args: &[String]) -> Result<Self, StepError> {
+        let log = dir.join(format!("{name}.log"));
+        let mut process = Process::start(name, &bin.join("fuchsiabay-bench"), args, &log)
+            .map_err(io_error("start a stand-in"))?;
+        let line = process.first_line().map_err(io_error("read the address of a stand-in"))?;
+        let Some(address) = line.trim_end().strip_prefix("listening ") else {
+            return Err(StepError::Check(format!("{name} printed no address but `{line}`")));
+        };
+        Ok(Self { process, args: args.to_vec(), url: format!("http://{address}") })
+    }
+}
+
+/// Returns the whole standard output of a process that ends by itself.
+pub(crate) fn read_to_end(process: &mut Process) -> Result<String, StepError> {
+    let mut text = String::new();
+    if let Some(mut stdout) = process.stdout() {
+        stdout.read_to_string(&mut text).map_err(io_error("read the output of a process"))?;
+    }
+    Ok(text)
+}
+
+/// Returns the arguments as owned strings.
+pub(crate) fn strings(args: &[&str]) -> Vec<String> {
+    args.iter().map(|arg| (*arg).to_owned()).collect()
+}
+
+fn start_daemon(
+    bin: &Path,
+    dir: &Path,
+    program: &str,
+    name: &str,
+    settings: &Path,
+) -> Result<Process, StepError> {
+    let log = dir.join(format!("{name}.log"));
+    let args = strings(&["--settings", &settings.to_string_lossy()]);
+    let mut process = Process::start(name, &bin.join(program), &args, &log).map_err(io_error(program))?;
+    process.log_stdout(&log).map_err(io_error(program))?;
+    Ok(process)
+}
+
+fn build(profile: Profile, packages: &[&str]) -> Result<PathBuf, StepError> {
+    let mut args = vec!["build", "--locked", "--quiet"];
+    if profile == Profile::Release {
+        args.push("--release");
+    }
+    args.extend(packages.iter().flat_map(|package| ["--package", package]));
+    cargo(&args, &[])?;
+    let target = std::env::var_os("CARGO_TARGET_DIR").map_or_else(|| PathBuf::from("target"), PathBuf::from);
+    Ok(target.join(if profile == Profile::Release { "release" } else { "debug" }))
+}
+
+/// Returns addresses that the kernel chose. All are held until the last one is known, so that no two are equal.
+fn free_addresses(count: usize) -> Result<Vec<SocketAddr>, StepError> {
+    let listeners = (0..count).map(|_| TcpListener::bind("127.0.0.1:0")).collect::<io::Result<Vec<_>>>();
+    let listeners = listeners.map_err(io_error("find free ports"))?;
+    let addresses = listeners.iter().map(TcpListener::local_addr).collect::<io::Result<Vec<_>>>();
+    addresses.map_err(io_error("find free ports"))
+}
+
+fn io_error(step: &str) -> impl Fn(io::Error) -> StepError {
+    let step = step.to_owned();
+    move |error| StepError::Start(step.clone(), error)
+}
--- /dev/null
+++ b/xtask/src/demo.rs
@@ -0,0 +1,213 @@
+//! `cargo xtask demo`: a whole cluster on loopback under mixed load, with faults in the middle.
+
+use std::{
+    fmt,
+    str::FromStr,
+    thread,
+    time::{Duration, Instant},
+};
+
+use rustix::process::Signal;
+use serde_json::{Value, json};
+
+use crate::{
+    cluster::{Cluster, Plan, Profile, read_to_end, strings},
+    process::{Process, stop_all_on_interrupt},
+    steps::StepError,
+};
+
+/// How long requests arrive.
+const LOAD: Duration = Duration::from_secs(10);
+/// When the fault begins.
+const FAULT_AT: Duration = Duration::from_millis(3_500);
+/// How long an agent is stopped and how long the log is out of service.
+const FAULT: Duration = Duration::from_secs(4);
+/// How long a killed process stays away.
+const AWAY: Duration = Duration::from_millis(1_500);
+/// How long an entry instance may take to drain.
+const DRAIN_LIMIT: Duration = Duration::from_secs(30);
+/// The least share of requests that must be answered, in percent. A cluster that refuses everything breaks no
+/// promise, so the promises alone would not show that it works.
+const MIN_ANSWERED_PERCENT: u64 = 60;
+
+/// What goes wrong in the middle of the load.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Fault {
+    /// An agent is killed and an entry instance is drained.
+    Mixed,
+    /// An engine is killed in the middle of its streams.
+    Kill,
+    /// An agent of a plain service is stopped for seconds while calls that run at most once are sent again.
+    Freeze,
+    /// The log is out of service while calls that run at most once arrive.
+    LogOutage,
+}
+
+impl FromStr for Fault {
+    type Err = &'static str;
+
+    fn from_str(s: &str) -> Result<Self, Self::Err> {
+        match s {
+            "kill" => Ok(Self::Kill),
+            "freeze" => Ok(Self::Freeze),
+            "log-outage" => Ok(Self::LogOutage),
+            _ => Err("allowed: kill, freeze or log-outage"),
+        }
+    }
+}
+
+/// The counts of the load generator.
+struct Counts(Value);
+
+impl Counts {
+    fn number(&self, field: &str) -> u64 {
+        self.0[field].as_u64().unwrap_or_default()
+    }
+
+    /// Returns which promise does not hold.
+    fn broken_promise(&self, fault: Fault) -> Option<String> {
+        for field in ["wrong", "doubled", "truncated"] {
+            if self.number(field) > 0 {
+                return Some(format!("{field} is {}", self.number(field)));
+            }
+        }
+        if self.number("answered") * 100 < self.number("sent") * MIN_ANSWERED_PERCENT {
+            return Some(format!("fewer than {MIN_ANSWERED_PERCENT} % of the requests were answered"));
+        }
+        if fault == Fault::LogOutage && self.number("refused_not_run") == 0 {
+            return Some("no call was refused, so the outage of the log reached none".into());
+        }
+        None
+    }
+}
+
+impl fmt::Display for Counts {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "demo:")?;
+        for field in ["sent", "answered", "refused_not_run", "may_have_run", "wrong", "doubled", "truncated"]
+        {
+            write!(f, " {field}={}", self.number(field))?;
+        }
+        Ok(())
+    }
+}
+
+/// Runs the demo. It succeeds only when every promise held.
+pub(crate) fn run(fault: Fault, seed: u64) -> Result<(), StepError> {
+    stop_all_on_interrupt().map_err(|error| StepError::Start("signal handling".into(), error))?;
+    let plan = Plan {
+        profile: Profile::Dev,
+        entries: 3,
+        engines: 4,
+        services: 3,
+        slots: 16,
+        engine_args: vec![],
+        service_args: strings(&["--delay-ms", "20"]),
+    };
+    let mut cluster = Cluster::start(&plan)?;
+    let mut load = cluster.start_load(&load_args(fault, seed))?;
+    let started = Instant::now();
+    eprintln!("xtask: load of {} s with seed {seed}", LOAD.as_secs());
+    thread::sleep(FAULT_AT.saturating_sub(started.elapsed()));
+    let gone = inject(fault, &mut cluster)?;
+    let output = read_to_end(&mut load)?;
+    let counts = Counts(serde_json::from_str(&output).map_err(|error| {
+        StepError::Check(format!("the load generator printed no report: {error}; {output}"))
+    })?);
+    for failure in counts.0["failures"].as_array().into_iter().flatten() {
+        eprintln!("xtask: {}", failure.as_str().unwrap_or_default());
+    }
+    let invariants = cluster.check_invariants(|name| Some(name) != gone.as_deref());
+    let broken = counts.broken_promise(fault);
+    if broken.is_none() && invariants.is_ok() {
+        cluster.finish();
+    } else {
+        drop(cluster);
+    }
+    println!("{counts}");
+    invariants?;
+    broken.map_or(Ok(()), |promise| Err(StepError::Check(promise)))
+}
+
+/// Brings the fault about and returns the name of the daemon that is gone after it.
+fn inject(fault: Fault, cluster: &mut Cluster) -> Result<Option<String>, StepError> {
+    match fault {
+        Fault::Mixed => {
+            eprintln!("xtask: kills an agent and drains an entry instance");
+            signal(&cluster.agents[0].process, Signal::KILL)?;
+            let last = cluster.entries.len() - 1;
+            signal(&cluster.entries[last].process, Signal::TERM)?;
+            let leaving = cluster.entries[last].process.name().to_owned();
+            cluster.set_list(|name| name != leaving)?;
+            thread::sleep(AWAY);
+            cluster.restart_agent(0)?;
+            let status = cluster.entries[last].process.wait(DRAIN_LIMIT);
+            match status.map_err(|error| StepError::Start("wait for the drain".into(), error))? {
+                Some(status) if status.success() => Ok(Some(leaving)),
+                Some(status) => Err(StepError::Check(format!("the drain ended with {status}"))),
+                None => Err(StepError::Check("the drain did not end".into())),
+            }
+        }
+        Fault::Kill => {
+            eprintln!("xtask: kills an engine");
+            signal(&cluster.engines[0].process, Signal::KILL)?;
+            thread::sleep(AWAY);
+            cluster.restart_engine(0)?;
+            Ok(None)
+        }
+        Fault::Freeze => {
+            eprintln!("xtask: stops an agent for {} s", FAULT.as_secs());
+            let agent = &cluster.agents[cluster.engines.len()].process;
+            signal(agent, Signal::STOP)?;
+            thread::sleep(FAULT);
+            signal(agent, Signal::CONT)?;
+            Ok(None)
+        }
+        Fault::LogOutage => {
+            eprintln!("xtask: takes the log out of service for {} s", FAULT.as_secs());
+            cluster.set_log_faults(&json!({ "outage": true }))?;
+            thread::sleep(FAULT);
+            cluster.set_log_faults(&json!({ "lose_answers": 3 }))?;
+            Ok(None)
+        }
+    }
+}
+
+fn signal(process: &Process, signal: Signal) -> Result<(), StepError> {
+    process.signal(signal).map_err(|error| StepError::Start(format!("signal {}", process.name()), error))
+}
+
+fn load_args(fault: Fault, seed: u64) -> Vec<String> {
+    let mut args = strings(&[
+        "--seed",
+        &seed.to_string(),
+        "--duration-ms",
+        &LOAD.as_millis().to_string(),
+        "--rate",
+        "60",
+        "--model",
+        "assistant",
+        "--deadline-ms",
+        "10000",
+    ]);
+    for workspace in ["gate", "drying-hall-1", "drying-hall-2", "quality", "exporters"] {
+        args.extend(strings(&["--workspace", workspace]));
+    }
+    // Each fault is met by the work that it can harm.
+    let mix: &[&str] = match fault {
+        Fault::Mixed => &[],
+        Fault::Kill => &["--look-up-percent", "10", "--keyed-percent", "10", "--long-percent", "50"],
+        Fault::Freeze | Fault::LogOutage => &[
+            "--look-up-percent",
+            "20",
+            "--keyed-percent",
+            "60",
+            "--twin-percent",
+            "80",
+            "--twin-delay-ms",
+            "4000",
+        ],
+    };
+    args.extend(strings(mix));
+    args
+}
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -1,14 +1,22 @@
 //! Chores of the project: `cargo xtask ci` runs every check.
 
+mod bench;
+mod byte_meter;
 mod ci;
+mod cluster;
+mod demo;
+mod process;
 mod steps;
 mod style;
+mod usage;
 
 use bpaf::{OptionParser, Parser, construct};
 
 #[derive(Clone, Debug)]
 enum Task {
     Ci,
+    Bench { subject: bench::Subject, seed: u64, json: bool },
+    Demo(demo::Fault, u64),
 }
 
 fn options() -> OptionParser<Task> {
@@ -16,12 +24,38 @@
         .to_options()
         .descr("Formats, lints, documents and tests the workspace")
         .command("ci");
-    construct!([ci]).to_options().descr("Chores of the fuchsiabay project")
+    let fault = bpaf::long("fault")
+        .help("Only this fault: kill, freeze or log-outage")
+        .argument("FAULT")
+        .fallback(demo::Fault::Mixed);
+    let demo = construct!(Task::Demo(fault, seed()))
+        .to_options()
+        .descr("Runs a cluster on loopback under load and faults and checks every promise")
+        .command("demo");
+    construct!([ci, demo, bench()]).to_options().descr("Chores of the fuchsiabay project")
+}
+
+fn bench() -> impl Parser<Task> {
+    let subject = bpaf::long("path")
+        .help("Measure the request path of the real programs instead of the policies on virtual time")
+        .flag(bench::Subject::Path, bench::Subject::Policy);
+    let json = bpaf::long("json").help("Print the figures as one line of JSON").switch();
+    let seed = seed();
+    construct!(Task::Bench { subject, seed, json })
+        .to_options()
+        .descr("Measures the policies or the request path")
+        .command("bench")
+}
+
+fn seed() -> impl Parser<u64> {
+    bpaf::long("seed").help("Determines the load").argument("N").fallback(1).display_fallback()
 }
 
 fn main() -> std::process::ExitCode {
     let result = match options().run() {
         Task::Ci => ci::run(),
+        Task::Bench { subject, seed, json } => bench::run(subject, seed, json),
+        Task::Demo(fault, seed) => demo::run(fault, seed),
     };
     let Err(error) = result else {
         return std::process::ExitCode::SUCCESS;
--- a/xtask/src/steps.rs
+++ b/xtask/src/steps.rs
@@ -12,6 +12,8 @@
     Start(String, io::Error),
     /// The program ended with an error.
     Failed(String, ExitStatus),
+    /// A check did not hold.
+    Check(String),
     /// Lines break the house style.
     Style(usize),
 }
@@ -21,6 +23,7 @@
         match self {
             Self::Start(step, error) => write!(f, "cannot start `{step}`: {error}"),
             Self::Style(lines) => write!(f, "{lines} lines break the house style"),
+            Self::Check(check) => f.write_str(check),
             Self::Failed(step, status) => write!(f, "`{step}` failed: {status}"),
         }
     }
