--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -6,6 +6,7 @@
 mod cluster;
 mod demo;
 mod process;
+mod prove;
 mod steps;
 mod style;
 mod usage;
@@ -17,6 +18,7 @@
     Ci,
     Bench { subject: bench::Subject, seed: u64, json: bool },
     Demo(demo::Fault, u64),
+    Prove(Vec<String>),
 }
 
 fn options() -> OptionParser<Task> {
@@ -32,7 +34,13 @@
         .to_options()
         .descr("Runs a cluster on loopback under load and faults and checks every promise")
         .command("demo");
-    construct!([ci, demo, bench()]).to_options().descr("Chores of the fuchsiabay project")
+    let prove = bpaf::any("ARG", |arg: String| Some(arg))
+        .many()
+        .map(Task::Prove)
+        .to_options()
+        .descr("Runs the decision code on virtual time, without a mechanism on request")
+        .command("prove");
+    construct!([ci, demo, bench(), prove]).to_options().descr("Chores of the fuchsiabay project")
 }
 
 fn bench() -> impl Parser<Task> {
@@ -56,6 +64,7 @@
         Task::Ci => ci::run(),
         Task::Bench { subject, seed, json } => bench::run(subject, seed, json),
         Task::Demo(fault, seed) => demo::run(fault, seed),
+        Task::Prove(args) => prove::run(&args),
     };
     let Err(error) = result else {
         return std::process::ExitCode::SUCCESS;
