Relay tokens with fewer system calls

After each read the agent tried another one at once, which failed for nearly every token because an engine sends one token per stream and step. It now tries again only when the read filled half of its buffer.

--- a/crates/fuchsiabay-agent/src/backend/token_stream.rs
+++ b/crates/fuchsiabay-agent/src/backend/token_stream.rs
@@ -10,6 +10,9 @@
 /// Text of one frame after which no more tokens are added, so that a fast engine cannot delay a frame for long.
 const FRAME_TEXT_BYTES: usize = 16 << 10;
 
+/// Tokens of one frame after which no more are added. Tokens may have no text, and a frame counts in 16 bits.
+const FRAME_TOKENS: u16 = 8 << 10;
+
 /// What a stream yields.
 #[derive(Debug, PartialEq, Eq)]
 pub(crate) enum StreamItem {
@@ -52,18 +55,23 @@
     /// wait and tokens are returned before another wait.
     pub(crate) async fn next(&mut self) -> StreamItem {
         let mut batch = Batch::default();
+        let mut more = false;
         while batch.count == 0 {
             if let Some(item) = self.end() {
                 return item;
             }
             let read = self.body.read(&mut self.buf).await;
-            self.take(read, &mut batch);
+            more = self.take(read, &mut batch);
         }
-        while batch.text.len() < FRAME_TEXT_BYTES && self.end().is_none() {
+        while more
+            && batch.text.len() < FRAME_TEXT_BYTES
+            && batch.count < FRAME_TOKENS
+            && self.end().is_none()
+        {
             let Some(read) = future::poll_once(self.body.read(&mut self.buf)).await else {
                 break;
             };
-            self.take(read, &mut batch);
+            more = self.take(read, &mut batch);
         }
         StreamItem::Tokens(batch)
     }
@@ -79,13 +87,22 @@
         }
     }
 
-    /// Parses what was read. The tokens before a fault are kept, so that a stream resumes behind them.
+    /// Parses what was read, and returns whether more is likely to be ready. The tokens before a fault are kept, so
+    /// that a stream resumes behind them.
     ///
     /// An error of the connection ends the stream like its end does: what counts is whether the `done` line came.
-    fn take(&mut self, read: std::io::Result<usize>, batch: &mut Batch) {
+    fn take(&mut self, read: std::io::Result<usize>, batch: &mut Batch) -> bool {
         match read {
-            Ok(0) | Err(_) => self.ended = true,
-            Ok(n) => self.malformed = self.parser.push(&self.buf[..n], batch).err(),
+            Ok(0) | Err(_) => {
+                self.ended = true;
+                false
+            }
+            Ok(n) => {
+                self.malformed = self.parser.push(&self.buf[..n], batch).err();
+                // A read that leaves half of the buffer empty has taken all that was there, and another try would
+                // cost a system call for each token.
+                n >= READ_BYTES / 2
+            }
         }
     }
 
--- a/crates/fuchsiabay-agent/src/stream.rs
+++ b/crates/fuchsiabay-agent/src/stream.rs
@@ -127,8 +127,15 @@
     }
 }
 
-async fn stop_stream<C: ConfigView>(agent: &Agent<C>, id: &str, control: Control, position: u32) -> Ending {
+async fn stop_stream<C: ConfigView>(
+    agent: &Arc<Agent<C>>,
+    id: &str,
+    control: Control,
+    position: u32,
+) -> Ending {
     if control == Control::Lost {
+        // An engine that only failed its probes may still run the stream.
+        cancel_in_background(agent, id);
         return Ending::may_have_run(AttemptError::BackendLost, position);
     }
     // The slot is free only when the engine has dropped the stream.
