Replay traces with the operator's command

A recorded trace states its outcome; the command replays it and names each difference. It exits with 0 when the outcome is as stated and with 2 when it differs or when the file is no trace.

--- a/crates/fuchsiabay/src/lib.rs
+++ b/crates/fuchsiabay/src/lib.rs
@@ -13,6 +13,7 @@
 mod preset;
 mod proposal;
 mod publish;
+mod replay;
 mod report;
 mod run;
 mod status;
--- a/crates/fuchsiabay/src/options.rs
+++ b/crates/fuchsiabay/src/options.rs
@@ -60,6 +60,11 @@
         /// The operators' address of the instance.
         address: SocketAddr,
     },
+    /// Replays a trace against the outcome that it states.
+    Replay {
+        /// The trace.
+        file: PathBuf,
+    },
 }
 
 /// What to do with presets.
@@ -81,8 +86,9 @@
 
 /// Returns the parser of the command line.
 pub fn options() -> OptionParser<Options> {
-    let (check, publish, preset, status, dump) = (check(), publish(), preset(), status(), dump());
-    construct!([check, publish, preset, status, dump])
+    let (check, publish, preset) = (check(), publish(), preset());
+    let (status, dump, replay) = (status(), dump(), replay());
+    construct!([check, publish, preset, status, dump, replay])
         .to_options()
         .descr("Operates fuchsiabay: switches presets and publishes configuration")
         .footer(
@@ -178,6 +184,16 @@
         .command("dump")
 }
 
+fn replay() -> impl Parser<Options> {
+    let json = json();
+    let file = positional("FILE").help("The trace").complete_shell(ShellComp::File { mask: Some("*.json") });
+    construct!(json, file)
+        .map(|(json, file)| Options { json, command: Command::Replay { file } })
+        .to_options()
+        .descr("Replays a recorded trace and compares the outcome with the one that it states")
+        .command("replay")
+}
+
 fn json() -> impl Parser<bool> {
     long("json").help("Print the result as one line of JSON").switch()
 }
--- a/crates/fuchsiabay/src/run.rs
+++ b/crates/fuchsiabay/src/run.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     Command, Connection, Exit, Options, PresetCommand, Report, check, dump, log_stream::LogStream, preset,
-    publish, status,
+    publish, replay, status,
 };
 
 /// Runs the command of `options`.
@@ -15,6 +15,7 @@
     match options.command {
         Command::Check { files } => check::check(&files),
         Command::Dump { timeout_ms, address } => dump::dump(address, timeout_ms).await,
+        Command::Replay { file } => replay::replay(&file),
         Command::Publish { connection, based_on, file } => match connect(&connection) {
             Ok((_, log)) => publish::publish_file(&log, publish_id(), based_on, &file).await,
             Err(report) => report,
--- a/crates/fuchsiabay/src/tests.rs
+++ b/crates/fuchsiabay/src/tests.rs
@@ -8,6 +8,7 @@
 use bpaf::Args;
 use fuchsiabay_base::Timestamp;
 use fuchsiabay_config::{ConfigRecord, Document, PublishId};
+use fuchsiabay_prove::Trace;
 use fuchsiabay_runtime::{Instance, InstanceState, LogError, LogPage, LogRecord};
 use quickcheck::{Arbitrary, Gen};
 use serde_json::{Value, json};
@@ -15,7 +16,7 @@
 use crate::{
     Command, Exit, Options, Report, check,
     config_log::ConfigLog,
-    options, preset, publish,
+    options, preset, publish, replay,
     status::{self, Row},
 };
 
@@ -269,6 +270,36 @@
     }
 }
 
+/// Records what a trace leads to with every mechanism on, states `violations` in addition, and replays it.
+fn check_replay(violations: &[&str], exit: Exit, expected: &str) {
+    let traces = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../tests/traces");
+    let mut trace = Trace::read(&traces.join("claim-window.json")).unwrap();
+    trace.expected = trace.run().unwrap();
+    trace.expected.violations.extend(violations.iter().map(|&text| text.to_owned()));
+    let name = format!("fuchsiabay-replay-{}-{}.json", std::process::id(), violations.len());
+    let file = std::env::temp_dir().join(name);
+    std::fs::write(&file, serde_json::to_vec(&trace).unwrap()).unwrap();
+    let report = replay::replay(&file);
+    std::fs::remove_file(&file).unwrap();
+    assert_eq!(report.exit, exit, "{}", report.text);
+    assert_eq!(report.json["result"], expected, "{}", report.text);
+}
+
+macro_rules! replay_cases {
+    ($($name:ident: $violations:expr => $exit:ident, $result:literal;)*) => {
+        $(#[test]
+        fn $name() {
+            check_replay($violations, Exit::$exit, $result);
+        })*
+    };
+}
+
+// A replay that overlooked a difference would pass a fault as fixed.
+replay_cases! {
+    replays_a_trace_as_stated: &[] => Done, "matches";
+    reports_an_outcome_that_differs: &["a key ran twice"] => Invalid, "differs";
+}
+
 fn row(id: &str, version: Option<u64>, leaving: bool, not_ready: bool) -> Row {
     let state = if leaving { InstanceState::Leaving } else { InstanceState::Live };
     let instance: Instance = serde_json::from_value(json!({
