--- a/crates/fuchsiabay-agent/src/main.rs
+++ b/crates/fuchsiabay-agent/src/main.rs
@@ -1,27 +1,24 @@
 //! Starts `fuchsiabay-agent`.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::process::ExitCode;
 
-use bpaf::{OptionParser, Parser};
-use fuchsiabay_runtime::logging;
+use fuchsiabay_runtime::{DaemonOptions, logging};
 use fuchsiabay_settings::{AgentSettings, LogFormat};
 
-fn options() -> OptionParser<PathBuf> {
-    bpaf::positional::<PathBuf>("SETTINGS")
-        .help("The settings file, in JSON with comments")
-        .to_options()
-        .descr("The fuchsiabay agent beside a backend server")
-        .version(env!("CARGO_PKG_VERSION"))
-}
-
 fn main() -> ExitCode {
-    let settings = match AgentSettings::load(options().run()) {
+    let options =
+        DaemonOptions::parser("Runs the fuchsiabay agent beside a backend server", env!("CARGO_PKG_VERSION"))
+            .run();
+    let settings = match AgentSettings::load(&options.settings) {
         Ok(settings) => settings,
         Err(error) => {
-            eprintln!("fuchsiabay-agent: {error}");
-            return ExitCode::FAILURE;
+            eprintln!("{error}");
+            return ExitCode::from(DaemonOptions::INVALID_SETTINGS);
         }
     };
+    if options.check {
+        return ExitCode::SUCCESS;
+    }
     if let Err(error) = logging::init(settings.log.level.filter(), settings.log.format == LogFormat::Json) {
         eprintln!("fuchsiabay-agent: {error}");
         return ExitCode::FAILURE;
--- a/crates/fuchsiabay-entry/src/daemon.rs
+++ b/crates/fuchsiabay-entry/src/daemon.rs
@@ -17,9 +17,6 @@
 
 use crate::{callers, commands, entry::Entry, membership::Membership, quarantine_log};
 
-/// The retention of the log that snapshots of the configuration are made for. A shorter one than the real one only
-/// makes snapshots more frequent.
-const LOG_RETENTION: Millis = Millis(3_600_000);
 /// The time that connections have to close in order after a drain.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -75,7 +72,8 @@
     spawn(membership.run(ListClient::new(&settings.list_url), members_tx)).detach();
     spawn(peers.serve(identity.clone(), key.clone(), Arc::clone(&entry))).detach();
     let service = Arc::clone(&entry);
-    spawn(run_entry(follower, identity, key, service, log.clone(), LOG_RETENTION, members)).detach();
+    let retention = Millis(settings.log_retention_ms);
+    spawn(run_entry(follower, identity, key, service, log.clone(), retention, members)).detach();
     spawn(quarantine_log::tail(Arc::clone(&entry), log.clone())).detach();
     spawn(quarantine_log::append(records, log)).detach();
     let server = callers::serve(Arc::clone(&entry), callers);
--- a/crates/fuchsiabay-entry/src/main.rs
+++ b/crates/fuchsiabay-entry/src/main.rs
@@ -1,26 +1,23 @@
 //! Starts `fuchsiabay-entry`.
 
-use std::{path::PathBuf, process::ExitCode};
+use std::process::ExitCode;
 
-use bpaf::{OptionParser, Parser};
+use fuchsiabay_runtime::DaemonOptions;
 use fuchsiabay_settings::EntrySettings;
 
-fn options() -> OptionParser<PathBuf> {
-    bpaf::long("settings")
-        .help("The settings of this instance, JSON with comments")
-        .argument::<PathBuf>("FILE")
-        .to_options()
-        .descr("Runs an entry instance of fuchsiabay")
-}
-
 fn main() -> ExitCode {
-    let settings = match EntrySettings::load(options().run()) {
+    let options =
+        DaemonOptions::parser("Runs an entry instance of fuchsiabay", env!("CARGO_PKG_VERSION")).run();
+    let settings = match EntrySettings::load(&options.settings) {
         Ok(settings) => settings,
         Err(error) => {
             eprintln!("{error}");
-            return ExitCode::FAILURE;
+            return ExitCode::from(DaemonOptions::INVALID_SETTINGS);
         }
     };
+    if options.check {
+        return ExitCode::SUCCESS;
+    }
     if let Err(error) = fuchsiabay_entry::run(settings) {
         eprintln!("fuchsiabay-entry: {error}");
         return ExitCode::FAILURE;
--- a/crates/fuchsiabay-runtime/src/lib.rs
+++ b/crates/fuchsiabay-runtime/src/lib.rs
@@ -5,6 +5,7 @@
 //! Invariant kept here: a call is reported as `not-run` only when its frame was never handed to the socket.
 
 mod clock;
+mod daemon_options;
 mod instance;
 mod list_client;
 mod log_client;
@@ -18,6 +19,7 @@
 mod shutdown;
 
 pub use clock::{monotonic_now, sleep_until, spawn, unix_now};
+pub use daemon_options::DaemonOptions;
 pub use instance::{Instance, InstanceState};
 pub use list_client::{ListClient, ListError};
 pub use log_client::{LogClient, LogError};
--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -388,7 +388,7 @@
     settings: &Path,
 ) -> Result<Process, StepError> {
     let log = dir.join(format!("{name}.log"));
-    let args = strings(&["--settings", &settings.to_string_lossy()]);
+    let args = strings(&[&settings.to_string_lossy()]);
     let mut process = Process::start(name, &bin.join(program), &args, &log).map_err(io_error(program))?;
     process.log_stdout(&log).map_err(io_error(program))?;
     Ok(process)
