Hold less memory per open stream and count every refusal

The call was moved through the futures of the connection and each write buffer held 8 KiB, so 1,000 open streams took 61 MB. A receiver that was too slow no longer makes its server skipped. Refusals before the first attempt are counted as not-run, and the first tokens of a stream are counted as tokens.

--- a/crates/fuchsiabay-entry/src/call.rs
+++ b/crates/fuchsiabay-entry/src/call.rs
@@ -67,7 +67,10 @@
 
 impl<C: ConfigSource> Call<C> {
     /// Starts a request. A `suspect` runs alone.
-    pub(crate) fn start(entry: &Arc<Entry<C>>, job: Job, suspect: bool) -> Self {
+    ///
+    /// The call is boxed, because it moves from the handler into the response body, and each move would add its size to
+    /// the futures of the connection.
+    pub(crate) fn start(entry: &Arc<Entry<C>>, job: Job, suspect: bool) -> Box<Self> {
         let now = monotonic_now();
         let received_at = Instant::now();
         let mut machine = RequestMachine::new(job.kind(), job.idempotent, suspect, job.deadline);
@@ -75,7 +78,7 @@
         let deadline = Timer::after(Duration::from_millis(job.deadline.millis_since(now)));
         let mut dispatcher = Dispatcher::new(Arc::clone(entry), job);
         machine.handle(Event::Start, &mut dispatcher, now);
-        Self {
+        Box::new(Self {
             dispatcher,
             machine,
             stream: None,
@@ -91,7 +94,7 @@
             written_tokens: 0,
             ran: false,
             _open: entry.open_request(),
-        }
+        })
     }
 
     pub(crate) fn job(&self) -> &Job {
@@ -285,9 +288,9 @@
         let (Some((attempt, _)), Some(target)) = (self.machine.in_flight(), &self.target) else {
             return self.handle(Event::Deadline);
         };
-        target.skip_until(monotonic_now().plus_millis(SKIP_AFTER_FAILURE_MS));
         // An open connection means that this side was too slow, and the attempt still runs.
         let event = if target.link().peer().is_closed() {
+            target.skip_until(monotonic_now().plus_millis(SKIP_AFTER_FAILURE_MS));
             Event::ConnectionLost { attempt }
         } else {
             Event::Unanswered { attempt }
@@ -317,9 +320,10 @@
         let now = Instant::now();
         let counters = &self.dispatcher.entry.counters;
         let new = self.machine.transcript().position() - self.written_tokens;
+        counters.count_tokens(new);
         match self.last_tokens_at {
             None => counters.observe_first_token(millis(now - self.received_at)),
-            Some(last) => counters.observe_tokens(new, millis(now - last)),
+            Some(last) => counters.observe_inter_token(millis(now - last) / f64::from(new.max(1))),
         }
         self.last_tokens_at = Some(now);
         self.written_tokens += new;
--- a/crates/fuchsiabay-entry/src/callers.rs
+++ b/crates/fuchsiabay-entry/src/callers.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use fuchsiabay_base::Verdict;
 use smol::net::TcpListener;
 use trillium::{Conn, HttpConfig, Method};
 use trillium_server_common::ServerHandle;
@@ -10,7 +11,7 @@
 
 /// The size of the buffer of one response. It bounds the memory of an open stream and still takes a whole write of
 /// ready tokens.
-const WRITE_BUFFER_BYTES: usize = 8 * 1024;
+const WRITE_BUFFER_BYTES: usize = 2 * 1024;
 
 /// Serves callers on `listener` in the background.
 pub(crate) fn serve<C: ConfigSource>(entry: Arc<Entry<C>>, listener: TcpListener) -> ServerHandle {
@@ -37,6 +38,7 @@
     } else if conn.method() == Method::Post {
         chat::serve(&entry, conn).await
     } else {
+        entry.counters.count_verdict(Verdict::NotRun);
         Err((conn, Problem::not_run(405, "method-not-allowed", "The method is not allowed", "allowed: POST")))
     };
     served.unwrap_or_else(|(conn, problem)| problem.answer(conn))
--- a/crates/fuchsiabay-entry/src/chat.rs
+++ b/crates/fuchsiabay-entry/src/chat.rs
@@ -33,7 +33,10 @@
     let prepared = prepare(entry, &mut conn).await;
     let (call, writer, req) = match prepared {
         Ok(prepared) => prepared,
-        Err(problem) => return Err((conn, problem)),
+        Err(problem) => {
+            entry.counters.count_verdict(Verdict::NotRun);
+            return Err((conn, problem));
+        }
     };
     if req.stream {
         serve_stream(conn, call, writer, req.include_usage()).await
@@ -45,7 +48,7 @@
 async fn prepare<C: ConfigSource>(
     entry: &Arc<Entry<C>>,
     conn: &mut Conn,
-) -> Result<(Call<C>, ChatWriter, ChatRequest), Problem> {
+) -> Result<(Box<Call<C>>, ChatWriter, ChatRequest), Problem> {
     let passed = entry.pass(conn.request_headers())?;
     let body = entry.read_body(conn).await?;
     let req = ChatRequest::parse(&body)?;
@@ -94,7 +97,7 @@
 
 async fn serve_whole<C: ConfigSource>(
     mut conn: Conn,
-    mut call: Call<C>,
+    mut call: Box<Call<C>>,
     writer: ChatWriter,
 ) -> Result<Conn, (Conn, Problem)> {
     let run = async move {
@@ -114,7 +117,7 @@
 
 async fn serve_stream<C: ConfigSource>(
     mut conn: Conn,
-    mut call: Call<C>,
+    mut call: Box<Call<C>>,
     writer: ChatWriter,
     include_usage: bool,
 ) -> Result<Conn, (Conn, Problem)> {
@@ -150,7 +153,7 @@
 
 /// The body of a streamed completion.
 struct ChatStream<C: ConfigSource> {
-    call: Call<C>,
+    call: Box<Call<C>>,
     writer: ChatWriter,
     include_usage: bool,
     first: Option<Output>,
--- a/crates/fuchsiabay-entry/src/chat_request.rs
+++ b/crates/fuchsiabay-entry/src/chat_request.rs
@@ -10,7 +10,7 @@
 const BYTES_PER_TOKEN: usize = 4;
 /// The length of the prefix by which requests with a common system prompt are sent to the same cache. Shorter
 /// prompts gain nothing from a cache.
-const PREFIX_BYTES: usize = 256;
+const PREFIX_BYTES: usize = 128;
 
 /// The part of an OpenAI-compatible request that the engines know. Sampling parameters are accepted and ignored.
 #[derive(Clone, Debug)]
--- a/crates/fuchsiabay-entry/src/counters.rs
+++ b/crates/fuchsiabay-entry/src/counters.rs
@@ -100,10 +100,12 @@
         self.first_token_ms.record(ms);
     }
 
-    /// Counts `n` tokens that arrived `ms` after the ones before them.
-    pub(crate) fn observe_tokens(&self, n: u32, ms: f64) {
+    pub(crate) fn observe_inter_token(&self, ms: f64) {
+        self.inter_token_ms.record(ms);
+    }
+
+    pub(crate) fn count_tokens(&self, n: u32) {
         self.tokens.add(u64::from(n));
-        self.inter_token_ms.record(ms / f64::from(n.max(1)));
     }
 
     pub(crate) fn dump(&self) -> Value {
--- a/crates/fuchsiabay-entry/src/plain.rs
+++ b/crates/fuchsiabay-entry/src/plain.rs
@@ -29,7 +29,10 @@
 ) -> Result<Conn, (Conn, Problem)> {
     let mut call = match prepare(entry, &mut conn).await {
         Ok(call) => call,
-        Err(problem) => return Err((conn, problem)),
+        Err(problem) => {
+            entry.counters.count_verdict(Verdict::NotRun);
+            return Err((conn, problem));
+        }
     };
     let run = async move {
         let result = call.complete().await;
@@ -48,7 +51,7 @@
     }
 }
 
-async fn prepare<C: ConfigSource>(entry: &Arc<Entry<C>>, conn: &mut Conn) -> Result<Call<C>, Problem> {
+async fn prepare<C: ConfigSource>(entry: &Arc<Entry<C>>, conn: &mut Conn) -> Result<Box<Call<C>>, Problem> {
     let passed = entry.pass(conn.request_headers())?;
     let method = conn.method().as_str().to_owned();
     let target = conn.path_and_query().to_owned();
--- a/crates/fuchsiabay-routing/src/quarantine.rs
+++ b/crates/fuchsiabay-routing/src/quarantine.rs
@@ -19,7 +19,7 @@
 /// A record of the log stream `quarantine`. Times are on the Unix epoch.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-#[serde(tag = "kind", rename_all = "kebab-case")]
+#[serde(tag = "record", rename_all = "kebab-case")]
 pub enum QuarantineRecord {
     /// The backend server crashed while it ran the request.
     Crash {
