Show why requests failed in the reports of the load generator

The list of the first failures did not show which of them were common.

The agent takes its settings as a plain argument, and the list states generation 0, which stands for unknown.

--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -19,7 +19,9 @@
 };
 
 /// The programs that a cluster runs.
-const PACKAGES: [&str; 4] = ["fuchsiabay", "fuchsiabay-entry", "fuchsiabay-agent", "fuchsiabay-bench"];
+const PACKAGES: [&str; 4] = ["fuchsiabay", ENTRY, AGENT, "fuchsiabay-bench"];
+const ENTRY: &str = "fuchsiabay-entry";
+const AGENT: &str = "fuchsiabay-agent";
 const ZONES: [&str; 3] = ["dakar-a", "dakar-b", "dakar-c"];
 /// The published configuration.
 const CONFIGURATION: &str = "examples/dakar/configuration.jsonc";
@@ -242,7 +244,7 @@
             let (listen, peer, ops) = (next(), next(), next());
             let mut settings = self.common_settings(&format!("entry-{i}"), i, peer, ops);
             settings["listen"] = json!(listen);
-            self.entries.push(self.start_daemon("fuchsiabay-entry", settings, None)?);
+            self.entries.push(self.start_daemon(ENTRY, settings, None)?);
         }
         for i in 0..plan.engines + plan.services {
             let (peer, ops) = (next(), next());
@@ -256,7 +258,7 @@
             let backend = json!({ "kind": kind, "service": service, "url": url, "slots": plan.slots });
             let mut settings = self.common_settings(&name, i, peer, ops);
             settings["backend"] = backend;
-            self.agents.push(self.start_daemon("fuchsiabay-agent", settings, Some(service))?);
+            self.agents.push(self.start_daemon(AGENT, settings, Some(service))?);
         }
         Ok(())
     }
@@ -288,8 +290,8 @@
             "role": if service.is_some() { "agent" } else { "entry" },
             "zone": settings["zone"],
             "peer": settings["peer_listen"],
-            // The platform does not know the life of an instance; its peers learn it from the handshake.
-            "generation": 1,
+            // Zero states that the list does not know the life; peers learn it from the handshake.
+            "generation": 0,
             "state": "live",
         });
         if let Some(service) = service {
@@ -388,7 +390,9 @@
     settings: &Path,
 ) -> Result<Process, StepError> {
     let log = dir.join(format!("{name}.log"));
-    let args = strings(&["--settings", &settings.to_string_lossy()]);
+    let path = settings.to_string_lossy();
+    // The agent takes its settings as a plain argument, and the entry as an option.
+    let args = if program == AGENT { strings(&[&path]) } else { strings(&["--settings", &path]) };
     let mut process = Process::start(name, &bin.join(program), &args, &log).map_err(io_error(program))?;
     process.log_stdout(&log).map_err(io_error(program))?;
     Ok(process)
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -117,6 +117,9 @@
     for failure in counts.0["failures"].as_array().into_iter().flatten() {
         eprintln!("xtask: {}", failure.as_str().unwrap_or_default());
     }
+    for (failure, count) in counts.0["failure_counts"].as_object().into_iter().flatten() {
+        eprintln!("xtask: {count} times {failure}");
+    }
     let invariants = cluster.check_invariants(|name| Some(name) != gone.as_deref());
     let broken = counts.broken_promise(fault);
     if broken.is_none() && invariants.is_ok() {
