--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -390,9 +390,7 @@
     settings: &Path,
 ) -> Result<Process, StepError> {
     let log = dir.join(format!("{name}.log"));
-    let path = settings.to_string_lossy();
-    // The agent takes its settings as a plain argument, and the entry as an option.
-    let args = if program == AGENT { strings(&[&path]) } else { strings(&["--settings", &path]) };
+    let args = strings(&[&settings.to_string_lossy()]);
     let mut process = Process::start(name, &bin.join(program), &args, &log).map_err(io_error(program))?;
     process.log_stdout(&log).map_err(io_error(program))?;
     Ok(process)
