--- a/crates/fuchsiabay-entry/src/callers.rs
+++ b/crates/fuchsiabay-entry/src/callers.rs
@@ -1,13 +1,15 @@
 //! The HTTP server for callers.
 
-use std::sync::Arc;
+use std::{sync::Arc, time::Duration};
 
 use fuchsiabay_base::Verdict;
 use smol::net::TcpListener;
 use trillium::{Conn, HttpConfig, Method};
 use trillium_server_common::ServerHandle;
 
-use crate::{chat, config_source::ConfigSource, entry::Entry, plain, problem::Problem};
+use crate::{
+    caller_transport::HeadLimit, chat, config_source::ConfigSource, entry::Entry, plain, problem::Problem,
+};
 
 /// The size of the buffer of one response. It bounds the memory of an open stream and still takes a whole write of
 /// ready tokens.
@@ -25,6 +27,7 @@
         .with_nodelay()
         .with_max_connections(Some(limits.max_connections as usize))
         .with_http_config(http)
+        .with_acceptor(HeadLimit::new(Duration::from_millis(limits.head_timeout_ms)))
         .with_prebound_server(listener)
         .spawn(move |conn: Conn| answer(Arc::clone(&entry), conn))
 }
--- a/crates/fuchsiabay-entry/src/tests/bad_input.rs
+++ b/crates/fuchsiabay-entry/src/tests/bad_input.rs
@@ -1,6 +1,10 @@
 //! Bad input gets a clear refusal and never reaches an agent.
 
 use serde_json::Value;
+use smol::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 use super::{
     fake_agent::Act,
@@ -77,3 +81,48 @@
         assert!(second.header("retry-after").is_some());
     });
 }
+
+// Callers that never finish their heads must not use up the connections.
+fn check_slow_head(bytes: &[u8]) {
+    smol::block_on(async {
+        let world = World::with_head_timeout(&[], 50).await;
+        let mut socket = TcpStream::connect(world.addr).await.unwrap();
+        socket.write_all(bytes).await.unwrap();
+        // Hangs if the connection stays open.
+        let mut rest = Vec::new();
+        let _ = socket.read_to_end(&mut rest).await;
+        assert!(world.script.submissions.lock().is_empty());
+    });
+}
+
+macro_rules! slow_heads {
+    ($($name:ident: $bytes:expr;)+) => { $(#[test] fn $name() { check_slow_head($bytes); })+ };
+}
+
+slow_heads! {
+    silent_connection: b"";
+    unfinished_line: b"POST /v1/chat";
+    unfinished_head: b"POST /v1/chat/completions HTTP/1.1\r\nHost: entry\r\n";
+    http_2_preface: b"PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n";
+}
+
+// The limit of the head must not cut off an answer that takes longer, nor the next request of the connection.
+#[test]
+fn slow_answer_is_not_a_slow_head() {
+    smol::block_on(async {
+        let world = World::with_head_timeout(&[Act::RespondAfter(400), Act::Respond], 250).await;
+        let mut socket = TcpStream::connect(world.addr).await.unwrap();
+        for _ in 0..2 {
+            let head = format!("GET /lots/17 HTTP/1.1\r\nHost: entry\r\n{WORKSPACE}\r\n");
+            socket.write_all(head.as_bytes()).await.unwrap();
+            let mut answer = Vec::new();
+            while !answer.ends_with(b"{\"released\":true}") {
+                let mut buf = [0; 1024];
+                let n = socket.read(&mut buf).await.unwrap();
+                assert_ne!(n, 0, "{}", String::from_utf8_lossy(&answer));
+                answer.extend_from_slice(&buf[..n]);
+            }
+            smol::Timer::after(std::time::Duration::from_millis(400)).await;
+        }
+    });
+}
--- a/crates/fuchsiabay-entry/src/tests/fake_agent.rs
+++ b/crates/fuchsiabay-entry/src/tests/fake_agent.rs
@@ -38,6 +38,8 @@
     Refuse(RefusalReason),
     /// Answers as a plain service.
     Respond,
+    /// Answers as a plain service after so many milliseconds.
+    RespondAfter(u64),
     /// Reports that the backend server crashed.
     Crash,
     /// Admits and sends nothing.
@@ -135,7 +137,10 @@
             let _ = peer.call::<_, serde_json::Value>("flush", &(), deadline).await;
             peer.close();
         }
-        Act::Respond => {
+        Act::Respond | Act::RespondAfter(_) => {
+            if let Act::RespondAfter(ms) = act {
+                smol::Timer::after(Duration::from_millis(ms)).await;
+            }
             let body = b"{\"released\":true}".to_vec();
             end.response = Some(PlainResponse { status: 201, content_type: "application/json".into(), body });
             let _ = peer.send_end(end).await;
--- a/crates/fuchsiabay-entry/src/tests/world.rs
+++ b/crates/fuchsiabay-entry/src/tests/world.rs
@@ -83,12 +83,17 @@
     pub(super) entry: Arc<Entry<FixedConfig>>,
     pub(super) script: Arc<Script>,
     pub(super) records: Receiver<QuarantineRecord>,
-    addr: SocketAddr,
+    pub(super) addr: SocketAddr,
 }
 
 impl World {
     /// Starts an entry with agents that follow `acts` in the order of their submissions.
     pub(super) async fn start(acts: &[Act]) -> Self {
+        Self::with_head_timeout(acts, Limits::default().head_timeout_ms).await
+    }
+
+    /// Starts an entry whose callers have `head_timeout_ms` to send a head.
+    pub(super) async fn with_head_timeout(acts: &[Act], head_timeout_ms: u64) -> Self {
         let script = Arc::new(Script::default());
         script.acts.lock().extend(acts);
         let key = SharedKey::new("a key for tests only");
@@ -111,7 +116,7 @@
             generation: Generation(1),
             zone: "a".into(),
         };
-        let limits = Limits { max_body_bytes: 2048, max_headers: 20, ..Limits::default() };
+        let limits = Limits { max_body_bytes: 2048, max_headers: 20, head_timeout_ms, ..Limits::default() };
         let (entry, records) = Entry::new(identity, key, limits, config(), 1);
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
