--- /dev/null
+++ b/crates/fuchsiabay-measure/src/capacity/slope.rs
@@ -0,0 +1,71 @@
+//! Slopes of memory and processor time over the number of items.
+
+use std::{fmt, fs};
+
+use rustix::time::{ClockId, clock_gettime};
+use serde::Serialize;
+
+/// The memory and processor time of one kind of item.
+#[derive(Clone, Debug)]
+#[derive(Serialize)]
+pub(crate) struct Slope {
+    item: &'static str,
+    sizes: Vec<u64>,
+    bytes_per_item: f64,
+    /// The largest relative distance of a size from the line through all of them. A small one says that the slope
+    /// may be extended.
+    worst_fit: f64,
+    nanoseconds_per_item: f64,
+}
+
+/// Builds an item of each size and keeps all of them, so that freed memory is not counted as free.
+pub(crate) fn measure<T>(item: &'static str, sizes: [u64; 3], mut build: impl FnMut(u64) -> T) -> Slope {
+    // The first build pays for what is set up once.
+    std::mem::forget(build(1));
+    let mut points = Vec::new();
+    let mut nanoseconds = 0;
+    for &size in &sizes {
+        let (memory, time) = (resident_bytes(), process_nanoseconds());
+        let built = build(size);
+        nanoseconds = (process_nanoseconds() - time) / size;
+        points.push((size as f64, resident_bytes().saturating_sub(memory) as f64));
+        std::mem::forget(built);
+    }
+    let squares: f64 = points.iter().map(|(size, _)| size * size).sum();
+    let bytes_per_item = points.iter().map(|(size, bytes)| size * bytes).sum::<f64>() / squares;
+    let distance = |(size, bytes): &(f64, f64)| (bytes / (size * bytes_per_item).max(1.0) - 1.0).abs();
+    Slope {
+        item,
+        sizes: sizes.to_vec(),
+        bytes_per_item,
+        worst_fit: points.iter().map(distance).fold(0.0, f64::max),
+        nanoseconds_per_item: nanoseconds as f64,
+    }
+}
+
+impl fmt::Display for Slope {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "{}: {:.0} bytes, {:.0} ns an item (sizes {:?}, worst fit {:.0} %)",
+            self.item,
+            self.bytes_per_item,
+            self.nanoseconds_per_item,
+            self.sizes,
+            self.worst_fit * 100.0
+        )
+    }
+}
+
+/// Returns the resident memory of this process in bytes.
+fn resident_bytes() -> u64 {
+    let statm = fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = statm.split(' ').nth(1).and_then(|pages| pages.parse::<u64>().ok()).unwrap_or(0);
+    pages * rustix::param::page_size() as u64
+}
+
+/// Returns the processor time of this process in nanoseconds.
+fn process_nanoseconds() -> u64 {
+    let time = clock_gettime(ClockId::ProcessCPUTime);
+    time.tv_sec as u64 * 1_000_000_000 + time.tv_nsec as u64
+}
