Bound how long suspected requests wait and hold others up

After a crash, the suspects of a busy server waited up to the ageing limit for an empty server, and then ran one after the other while short work waited. A suspect now also empties the server when everything in flight is predicted to end within 250 ms, and other work that waited goes before the next suspect.

--- a/crates/fuchsiabay-admission/src/scheduler/commands.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/commands.rs
@@ -75,6 +75,9 @@
         let Some(running) = self.running.remove(&id) else {
             return;
         };
+        if running.solo {
+            self.owed_before = self.next_arrival;
+        }
         if running.paused_at.is_none() {
             self.rate.record(tokens, running.started, now);
         }
--- a/crates/fuchsiabay-admission/src/scheduler/dispatch.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/dispatch.rs
@@ -8,6 +8,10 @@
     workspace_queue::{Place, Queued},
 };
 
+/// The longest wait for an empty backend server that a suspected job may cause before it aged, in milliseconds. It is
+/// below the usual time to first token, so that short work hardly notices it.
+const SOLO_DRAIN_MS: u64 = 250;
+
 /// What to start in the next free slot.
 enum Next {
     Solo,
@@ -33,12 +37,14 @@
             return None;
         }
         let paused = self.oldest_paused();
-        if let Some(solo) = self.solos.front() {
+        if let Some(solo) = self.solos.front().filter(|_| !self.owes_a_turn()) {
             if self.running.is_empty() {
                 return Some(Next::Solo);
             }
-            // A suspected job that aged stops further starts, or a busy backend server would never run it.
-            if solo.queued_at.plus_millis(self.limits.ageing_ms) <= now {
+            // A suspected job stops further starts once it aged, or a busy backend server would never run it, and
+            // while the wait for an empty backend server is short.
+            let aged = solo.queued_at.plus_millis(self.limits.ageing_ms) <= now;
+            if aged || self.empties_within(SOLO_DRAIN_MS) {
                 return paused.map(|(id, _)| Next::Paused(id));
             }
         }
@@ -53,6 +59,12 @@
         (paused.is_some() || !self.long_arrivals.is_empty()).then(|| self.next_long(paused))
     }
 
+    /// Returns whether work waits that goes before the next suspected job.
+    fn owes_a_turn(&self) -> bool {
+        let first = self.short_arrivals.keys().next().into_iter().chain(self.long_arrivals.keys().next());
+        first.min().is_some_and(|arrival| *arrival < self.owed_before)
+    }
+
     /// A paused job goes before one that was never started, because its slot time and cache are spent already.
     fn next_long(&self, paused: Option<(JobId, Timestamp)>) -> Next {
         paused.map_or(Next::Waiting(Class::Long), |(id, _)| Next::Paused(id))
--- a/crates/fuchsiabay-admission/src/scheduler/mod.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/mod.rs
@@ -29,6 +29,9 @@
     deadlines: BTreeSet<(Timestamp, JobId)>,
     /// Suspected jobs by arrival. They are kept apart because only an empty backend server may run them.
     solos: VecDeque<Queued>,
+    /// Work that arrived before this number goes before the next suspected job, because a crash leaves several of
+    /// them and other work must not wait for all in a row.
+    owed_before: u64,
     running: BTreeMap<JobId, Running>,
     /// The virtual time of the latest start. A workspace that was idle continues here, so that idleness saves up
     /// no claim on the slots.
@@ -96,6 +99,7 @@
             long_arrivals: BTreeMap::new(),
             deadlines: BTreeSet::new(),
             solos: VecDeque::new(),
+            owed_before: 0,
             running: BTreeMap::new(),
             virtual_clock: 0,
             rate: ServiceRate::default(),
--- a/crates/fuchsiabay-admission/src/scheduler/queries.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/queries.rs
@@ -136,6 +136,12 @@
         self.running.values().map(|job| self.remaining_ms(job)).min().unwrap_or(0)
     }
 
+    /// Returns whether everything in flight is predicted to end within `ms` milliseconds. Without a measured speed
+    /// there is no prediction.
+    pub(super) fn empties_within(&self, ms: u64) -> bool {
+        self.rate.tokens_per_ms().is_some() && self.running.values().all(|job| self.remaining_ms(job) <= ms)
+    }
+
     /// Returns the jobs that hold a slot.
     pub(super) fn active(&self) -> u32 {
         self.running.values().filter(|job| job.paused_at.is_none()).count() as u32
--- a/crates/fuchsiabay-admission/tests/scheduler.rs
+++ b/crates/fuchsiabay-admission/tests/scheduler.rs
@@ -163,6 +163,19 @@
         At(100), Finish(1, 10), Expect(&[]), Finish(3, 10), Expect(&[START_2]),
         Short(5, "a"), Expect(&[]), Finish(2, 10), Expect(&[START_4, START_5]),
     ];
+    // Guards against short work that waits for every suspected request of a crash in a row.
+    suspects_take_turns: LIMITS, [
+        Solo(1), Solo(2), Short(3, "a"), Expect(&[START_1]), At(100), Finish(1, 10), Expect(&[START_3]),
+        Short(4, "a"), Finish(3, 10), Expect(&[START_2]), Finish(2, 10), Expect(&[START_4]),
+    ];
+    // Guards against a suspected request that waits for its ageing although the server could be empty at once, and
+    // against one that empties the server while a long job runs. 1 token takes 1 ms here.
+    suspect_empties_a_server_that_is_nearly_done: Limits { ageing_ms: 60_000, ..LIMITS }, [
+        Short(1, "a"), At(10), Finish(1, 10), Sized(2, "a", 90), Solo(3), Short(4, "a"),
+        Expect(&[START_1, START_2]), At(100), Finish(2, 90), Expect(&[START_3]),
+        At(110), Finish(3, 10), Expect(&[START_4]), At(120), Finish(4, 10),
+        Long(5, "a"), Solo(6), Short(7, "a"), Expect(&[START_5, Command::Start(JobId(7))]),
+    ];
     // Guards against a drain that cuts off running work or starts queued work.
     drain_hands_back: LIMITS, [
         Short(1, "a"), Short(2, "a"), Short(3, "a"), Expect(&[START_1, START_2]), Drain,
--- a/crates/fuchsiabay-agent/src/backend/client.rs
+++ b/crates/fuchsiabay-agent/src/backend/client.rs
@@ -159,7 +159,8 @@
     pub(crate) async fn control(&self, action: &str, id: &str) {
         let conn = self.pooled.post(self.url(&format!("/{action}/{id}")));
         match with_timeout(text(conn), CONTROL_TIMEOUT_MS).await {
-            Ok(_) | Err(BackendFailure::Refused(404)) => {}
+            // A server that cannot be reached is reported once, by its probe.
+            Ok(_) | Err(BackendFailure::Refused(404) | BackendFailure::NotSent) => {}
             Err(error) => log::warn!("agent: {action} of {id} failed: {error}"),
         }
     }
