Take the frames that arrived before a lost connection

When a connection was lost before the reply to a submission, the frames that had already arrived were dropped: the tokens were generated again, and an answer of a plain service that was already here became may-have-run. The stream now gives its frames first and then the loss. The test of truncation failed from this once in a whole check.

--- a/crates/fuchsiabay-entry/src/call.rs
+++ b/crates/fuchsiabay-entry/src/call.rs
@@ -216,16 +216,23 @@
             Err(error) => {
                 log::debug!("entry: submission to {} failed: {error}", target.id());
                 target.skip_until(now.plus_millis(SKIP_AFTER_FAILURE_MS));
-                self.handle(match error.verdict() {
-                    Verdict::NotRun => Event::NotSent { attempt },
-                    _ if now >= self.job().deadline => Event::Deadline,
-                    _ if target.link().peer().is_closed() => Event::ConnectionLost { attempt },
-                    _ => Event::Unanswered { attempt },
-                });
+                self.take_call_error(attempt, target, error.verdict(), now);
             }
         }
     }
 
+    fn take_call_error(&mut self, attempt: AttemptId, target: &Target, verdict: Verdict, now: Timestamp) {
+        if verdict == Verdict::NotRun {
+            return self.handle(Event::NotSent { attempt });
+        }
+        if target.link().peer().is_closed() {
+            // Frames may have arrived before the connection was lost. The stream gives them first and then the loss.
+            return;
+        }
+        let event = if now >= self.job().deadline { Event::Deadline } else { Event::Unanswered { attempt } };
+        self.handle(event);
+    }
+
     async fn wait(&mut self, until: Timestamp) {
         let deadline = self.job().deadline;
         sleep_until(until.min(deadline)).await;
