Decide what an agent proposes for its group

Nothing decided yet when an agent names itself, proposes a switch or ends one.

Prepare now carries the content of the map, in whole shares, so that no map is proposed whose content is lost. A map number is used once: an engine could otherwise run weights of an aborted map under the same number.

A new life calls StepGate::resume_after, because its former life may have permitted steps.

--- a/crates/fuchsiabay-experts/src/ledger.rs
+++ b/crates/fuchsiabay-experts/src/ledger.rs
@@ -1,11 +1,14 @@
 //! The map of every step, reduced from the log stream of one group.
 
-use std::collections::{BTreeMap, BTreeSet};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
 
 use fuchsiabay_base::{WriterId, invariant, mechanism};
 use serde::{Deserialize, Serialize};
 
-use crate::{MapRecord, MapVersion, Rank, SwitchId};
+use crate::{ExpertMap, MapRecord, MapVersion, Rank, SwitchId};
 
 /// Segments that are kept. Ranks in lock-step are never further apart than one switch, so older ones are finished.
 const KEPT_SEGMENTS: usize = 8;
@@ -36,6 +39,8 @@
     pub hold_step: u64,
     /// The agents that voted.
     pub votes: BTreeSet<WriterId>,
+    /// The content of the proposed map.
+    pub content: Arc<ExpertMap>,
 }
 
 /// Reduces the records of one group. Every reader of the same prefix has the same ledger.
@@ -44,7 +49,11 @@
     generation: u64,
     ranks: BTreeMap<Rank, WriterId>,
     segments: Vec<Segment>,
+    /// The content of the last map.
+    content: Option<Arc<ExpertMap>>,
     pending: Option<PendingSwitch>,
+    /// The highest map that was proposed, decided or not.
+    last_proposed: MapVersion,
     next_offset: u64,
     /// While the state is unknown: the offset from which on every record was seen, and those records.
     unknown: Option<Backlog>,
@@ -85,6 +94,19 @@
         self.adopt(record)
     }
 
+    /// Passes over the record at `offset`, which is none of this stream's records. Every reader ignores it alike.
+    pub fn skip(&mut self, offset: u64) {
+        if offset > self.next_offset {
+            self.unknown = Some(Backlog { from: offset, ..Backlog::default() });
+        }
+        self.next_offset = self.next_offset.max(offset + 1);
+    }
+
+    /// Returns the offset of the next record to read.
+    pub fn next_offset(&self) -> u64 {
+        self.next_offset
+    }
+
     /// Returns whether the state is known. A gate must not permit anything while it is not.
     pub fn is_complete(&self) -> bool {
         self.unknown.is_none()
@@ -110,6 +132,16 @@
         &self.segments
     }
 
+    /// Returns the content of the last map, or `None` for the first map, which follows from the settings.
+    pub fn content(&self) -> Option<&Arc<ExpertMap>> {
+        self.content.as_ref()
+    }
+
+    /// Returns the number of the next map to propose.
+    pub fn next_map(&self) -> MapVersion {
+        MapVersion(self.last_proposed.0 + 1)
+    }
+
     /// Returns the map of `step` and the step after the last one that is known to use it. `None` for the end stands for
     /// no known end.
     pub fn map_of(&self, step: u64) -> Option<(MapVersion, Option<u64>)> {
@@ -128,7 +160,9 @@
             generation: self.generation,
             ranks: self.ranks.clone(),
             segments: self.segments.clone(),
+            content: self.content.clone(),
             pending: self.pending.clone(),
+            last_proposed: self.last_proposed,
         })
     }
 
@@ -136,8 +170,8 @@
         match record {
             MapRecord::Snapshot { .. } => false,
             MapRecord::Generation { generation, ranks } => self.start_generation(*generation, ranks),
-            MapRecord::Prepare { generation, map, hold_step } => {
-                self.prepare(SwitchId(offset), *generation, *map, *hold_step)
+            MapRecord::Prepare { generation, map, hold_step, content } => {
+                self.prepare(SwitchId(offset), *generation, *map, *hold_step, content)
             }
             MapRecord::Vote { switch, generation, writer } => self.vote(*switch, *generation, writer),
             MapRecord::Abort { switch } => self.abort(*switch),
@@ -147,7 +181,9 @@
     /// Takes the state of a snapshot and applies what was read after it. A snapshot that a frozen writer appended late
     /// misses records that this reader cannot see either, and is ignored.
     fn adopt(&mut self, snapshot: &MapRecord) -> bool {
-        let MapRecord::Snapshot { as_of, generation, ranks, segments, pending } = snapshot else {
+        let MapRecord::Snapshot { as_of, generation, ranks, segments, content, pending, last_proposed } =
+            snapshot
+        else {
             return false;
         };
         let Some(backlog) = self.unknown.take_if(|backlog| as_of + 1 >= backlog.from) else {
@@ -156,7 +192,9 @@
         self.generation = *generation;
         self.ranks = ranks.clone();
         self.segments = segments.clone();
+        self.content = content.clone();
         self.pending = pending.clone();
+        self.last_proposed = *last_proposed;
         for (offset, record) in backlog.records.iter().filter(|(offset, _)| offset > as_of) {
             self.reduce(*offset, record);
         }
@@ -176,18 +214,28 @@
         true
     }
 
-    fn prepare(&mut self, switch: SwitchId, generation: u64, map: MapVersion, hold_step: u64) -> bool {
+    fn prepare(
+        &mut self,
+        switch: SwitchId,
+        generation: u64,
+        map: MapVersion,
+        hold_step: u64,
+        content: &Arc<ExpertMap>,
+    ) -> bool {
         let Some(last) = self.segments.last() else {
             return false;
         };
         if generation != self.generation
             || self.pending.is_some()
             || hold_step <= last.from
-            || map == last.map
+            // A number that an aborted switch used may stand for loaded weights of another content.
+            || map <= self.last_proposed
         {
             return false;
         }
-        self.pending = Some(PendingSwitch { switch, map, hold_step, votes: BTreeSet::new() });
+        self.last_proposed = map;
+        let content = Arc::clone(content);
+        self.pending = Some(PendingSwitch { switch, map, hold_step, votes: BTreeSet::new(), content });
         true
     }
 
@@ -218,6 +266,7 @@
             pending.hold_step
         );
         self.segments.push(Segment { from: pending.hold_step, map: pending.map });
+        self.content = Some(pending.content);
         if self.segments.len() > KEPT_SEGMENTS {
             self.segments.remove(0);
         }
--- a/crates/fuchsiabay-experts/src/map_record.rs
+++ b/crates/fuchsiabay-experts/src/map_record.rs
@@ -1,11 +1,11 @@
 //! Records of the log stream of one group.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use fuchsiabay_base::WriterId;
 use serde::{Deserialize, Serialize};
 
-use crate::{PendingSwitch, Segment};
+use crate::{ExpertMap, PendingSwitch, Segment};
 
 /// The number of an expert map of one group.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -46,6 +46,9 @@
         map: MapVersion,
         /// The first step of the proposed map. No rank passes it before the decision.
         hold_step: u64,
+        /// The content of the map. It is in the same record, so that no map is proposed whose content is lost, and no
+        /// number stands for two contents.
+        content: Arc<ExpertMap>,
     },
     /// The promise of one agent, for all its ranks, that none of them was permitted the hold step and that the weights
     /// of the proposed map are loaded. The switch is committed by the record that completes the votes.
@@ -72,7 +75,11 @@
         ranks: BTreeMap<Rank, WriterId>,
         /// The last segments. Earlier steps are finished.
         segments: Vec<Segment>,
+        /// The content of the last map, unless it is the first one, which follows from the settings.
+        content: Option<Arc<ExpertMap>>,
         /// The undecided switch.
         pending: Option<PendingSwitch>,
+        /// The highest map that was proposed.
+        last_proposed: MapVersion,
     },
 }
--- a/crates/fuchsiabay-experts/src/placement.rs
+++ b/crates/fuchsiabay-experts/src/placement.rs
@@ -1,5 +1,7 @@
 //! Which ranks hold which experts, and which share of an expert's tokens each replica serves.
 
+use crate::{ExpertMap, Replica};
+
 /// Copies one expert's weights into a slot of a rank, in place of another expert.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Move {
@@ -93,6 +95,25 @@
         placement
     }
 
+    /// Returns the placement of `map`, whose experts count up to `experts`, or `None` when an expert has no replica or a
+    /// rank or expert is out of range.
+    pub fn from_map(map: &ExpertMap, experts: u16) -> Option<Self> {
+        let mut placement =
+            Self { slots: Vec::with_capacity(map.ranks.len()), replicas: vec![Vec::new(); experts.into()] };
+        for (rank, slots) in map.ranks.iter().enumerate() {
+            let rank = u16::try_from(rank).ok()?;
+            for &Replica(expert, share) in slots {
+                placement.replicas.get_mut(usize::from(expert))?.push((rank, f64::from(share)));
+            }
+            placement.slots.push(slots.iter().map(|replica| replica.0).collect());
+        }
+        if placement.replicas.iter().any(Vec::is_empty) {
+            return None;
+        }
+        placement.replicas.iter_mut().for_each(|replicas| normalize(replicas));
+        Some(placement)
+    }
+
     /// Returns how many weights must be loaded to come from this placement to `next`.
     pub fn moves_to(&self, next: &Self) -> usize {
         let missing =
--- a/crates/fuchsiabay-experts/src/step_gate.rs
+++ b/crates/fuchsiabay-experts/src/step_gate.rs
@@ -34,6 +34,13 @@
         Self { writer, permitted_through: None, voted: None, loaded: None }
     }
 
+    /// Assumes that a former life of the agent permitted the steps up to `step`. A new life must call it with the last
+    /// step that its server ran plus the look-ahead of permits, because it would otherwise vote for a hold step that
+    /// ranks already run under the old map.
+    pub fn resume_after(&mut self, step: u64) {
+        self.permitted_through = self.permitted_through.max(Some(step));
+    }
+
     /// Returns the last step that was permitted.
     pub fn permitted_through(&self) -> Option<u64> {
         self.permitted_through
--- a/crates/fuchsiabay-experts/tests/ledger.rs
+++ b/crates/fuchsiabay-experts/tests/ledger.rs
@@ -1,6 +1,6 @@
 //! One expert map in every step: failures that threaten it, as scripts over the ledger and the gates.
 
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, sync::Arc};
 
 use fuchsiabay_base::{Generation, WriterId};
 use fuchsiabay_experts::{MapLedger, MapRecord, MapVersion, Rank, StepGate, SwitchId};
@@ -16,7 +16,7 @@
 }
 
 fn prepare(number: u64, map: u64, hold_step: u64) -> MapRecord {
-    MapRecord::Prepare { generation: number, map: MapVersion(map), hold_step }
+    MapRecord::Prepare { generation: number, map: MapVersion(map), hold_step, content: Arc::default() }
 }
 
 fn vote(switch: u64, number: u64, name: &str) -> MapRecord {
@@ -68,6 +68,9 @@
         [generation(1, &["a", "b"]), prepare(1, 1, 100), vote(1, 1, "a"), generation(2, &["a", "c"]), vote(1, 1, "b"),
          vote(1, 2, "c")] => 0, false;
     second_prepare_waits: [generation(1, &["a"]), prepare(1, 1, 100), prepare(1, 2, 90), vote(2, 1, "a")] => 0, true;
+    // An engine that loaded the weights of the aborted map would run them under the same number.
+    aborted_map_number_is_not_used_again:
+        [generation(1, &["a"]), prepare(1, 1, 90), abort(1), prepare(1, 1, 95), vote(3, 1, "a")] => 0, false;
     old_generation_record_is_void: [generation(1, &["a"]), generation(1, &["b"])] => 0, false;
 }
 
@@ -101,6 +104,18 @@
     assert_eq!(gate.vote(&undecided), Some(vote(1, 1, "a")));
 }
 
+// A former life may have permitted the hold step under the old map.
+#[test]
+fn gate_of_a_new_life_does_not_vote_for_what_its_former_life_may_have_permitted() {
+    let undecided = ledger(&[generation(1, &["a"]), prepare(1, 1, 100)]);
+    for (resumed, votes) in [(99, true), (100, false)] {
+        let mut gate = StepGate::new(writer("a"));
+        gate.weights_loaded(MapVersion(1));
+        gate.resume_after(resumed);
+        assert_eq!(gate.vote(&undecided).is_some(), votes, "former life up to {resumed}");
+    }
+}
+
 // An earlier life of the agent may have voted, so a new life waits for a generation that names it.
 #[test]
 fn gate_of_a_stranger_permits_nothing() {
--- a/crates/fuchsiabay-experts/tests/placement.rs
+++ b/crates/fuchsiabay-experts/tests/placement.rs
@@ -1,7 +1,7 @@
 //! Placement: every expert stays reachable, shares add up, and rebalancing pays for itself.
 
 use fuchsiabay_base::Timestamp;
-use fuchsiabay_experts::{Placement, Planner, Popularity};
+use fuchsiabay_experts::{ExpertMap, Placement, Planner, Popularity};
 
 fn zipf(experts: usize, exponent: f64) -> Vec<f64> {
     (0..experts).map(|i| 1e6 / ((i * 37 % experts + 1) as f64).powf(exponent)).collect()
@@ -66,3 +66,17 @@
     popularity.record(Timestamp::from_millis(1_000), &[0, 7]);
     assert_eq!(popularity.tokens(), [50.0, 7.0]);
 }
+
+// The ranks would route tokens differently from the plan if the stored shares were far off.
+#[test]
+fn stored_map_keeps_the_placement() {
+    let tokens = zipf(256, 0.8);
+    let (placement, _) = Planner::default().plan(&Placement::round_robin(256, 64, 6), &tokens, &[1.0; 64]);
+    let json = serde_json::to_string(&ExpertMap::from(&placement)).unwrap();
+    let stored = Placement::from_map(&serde_json::from_str(&json).unwrap(), 256).unwrap();
+    assert_eq!(stored.slots(), placement.slots());
+    check_valid(&stored, 256);
+    let (old, new) = (placement.skew(&tokens, &[1.0; 64]), stored.skew(&tokens, &[1.0; 64]));
+    assert!((old - new).abs() < 0.01, "skew {old} planned and {new} stored");
+    assert!(Placement::from_map(&ExpertMap::default(), 256).is_none());
+}
--- /dev/null
+++ b/crates/fuchsiabay-experts/tests/proposer.rs
@@ -0,0 +1,110 @@
+//! What an agent proposes: failures that leave a group without a generation or with a switch that never ends.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use fuchsiabay_base::{Generation, Timestamp, WriterId};
+use fuchsiabay_experts::{MapLedger, MapRecord, MapVersion, Pace, Proposer, Rank, SwitchId};
+
+fn writer(name: &str, life: u64) -> WriterId {
+    WriterId { instance: name.into(), generation: Generation(life) }
+}
+
+fn generation(number: u64, members: &[(&str, u64)]) -> MapRecord {
+    let ranks: BTreeMap<_, _> =
+        (0..).zip(members).map(|(rank, &(name, life))| (Rank(rank), writer(name, life))).collect();
+    MapRecord::Generation { generation: number, ranks }
+}
+
+fn prepare(number: u64, map: u64, hold_step: u64) -> MapRecord {
+    MapRecord::Prepare { generation: number, map: MapVersion(map), hold_step, content: Arc::default() }
+}
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(ms)
+}
+
+/// Lets the life `life` of agent `name` with rank `rank` read one list of records after the other, and compares what it
+/// proposes 20 s after each. The present step is 40.
+fn check(name: &str, life: u64, rank: u16, reads: &[&[MapRecord]], expected: &[Option<MapRecord>]) {
+    let mut proposer =
+        Proposer::new(writer(name, life), vec![Rank(rank)], 2, Pace::new(10, 60), Timestamp::ZERO);
+    let mut ledger = MapLedger::begin(0);
+    let mut now = 0;
+    let mut proposed = Vec::new();
+    for records in reads {
+        for record in *records {
+            ledger.apply(ledger.next_offset(), record);
+        }
+        proposer.observe(at(now), &ledger);
+        now += 20_000;
+        let record = proposer.propose(at(now), &ledger);
+        proposed.push(record.or_else(|| proposer.prepare(at(now), &ledger, 40, Arc::default())));
+    }
+    assert_eq!(proposed, expected);
+}
+
+macro_rules! cases {
+    ($($name:ident: $agent:expr, $life:expr, $rank:expr, [$($read:expr),+] => [$($expected:expr),+];)+) => {
+        $(#[test] fn $name() { check($agent, $life, $rank, &[$(&$read),+], &[$($expected),+]); })+
+    };
+}
+
+cases! {
+    unnamed_life_names_itself: "a", 1, 0, [[]] => [Some(generation(1, &[("a", 1)]))];
+    // Two agents that start together must not drop each other.
+    second_agent_keeps_the_first: "b", 1, 1, [[generation(1, &[("a", 1)])]] =>
+        [Some(generation(2, &[("a", 1), ("b", 1)]))];
+    new_life_replaces_the_old_one: "a", 2, 0, [[generation(1, &[("a", 1), ("b", 1)])]] =>
+        [Some(generation(2, &[("a", 2), ("b", 1)]))];
+    // A frozen former life that wakes up must not displace the new one again.
+    former_life_stays_away: "a", 1, 0,
+        [[generation(1, &[("a", 1), ("b", 1)])], [generation(2, &[("a", 2), ("b", 1)])]] =>
+        [Some(prepare(1, 1, 100)), None];
+    life_that_was_never_named_stays_behind_a_later_one: "a", 1, 0, [[generation(1, &[("a", 2), ("b", 1)])]] =>
+        [None];
+    displaced_by_another_instance: "a", 1, 0,
+        [[generation(1, &[("a", 1), ("b", 1)])], [generation(2, &[("c", 1), ("b", 1)])]] =>
+        [Some(prepare(1, 1, 100)), None];
+    only_the_lowest_rank_prepares: "b", 1, 1, [[generation(1, &[("a", 1), ("b", 1)])]] => [None];
+    // A switch that a group without all its ranks commits binds ranks that did not vote.
+    incomplete_group_does_not_switch: "a", 1, 0, [[generation(1, &[("a", 1)])]] => [None];
+    undecided_switch_is_aborted: "b", 1, 1, [[generation(1, &[("a", 1), ("b", 1)]), prepare(1, 1, 100)]] =>
+        [Some(MapRecord::Abort { switch: SwitchId(1) })];
+    // The deadline of the switch before must not end the next one early.
+    each_switch_has_its_own_deadline: "a", 1, 0,
+        [[generation(1, &[("a", 1), ("b", 1)]), prepare(1, 1, 100)],
+         [MapRecord::Abort { switch: SwitchId(1) }, prepare(1, 2, 200)]] =>
+        [Some(MapRecord::Abort { switch: SwitchId(1) }), Some(MapRecord::Abort { switch: SwitchId(3) })];
+}
+
+// Appends that answer late would otherwise be repeated in each read.
+#[test]
+fn proposals_are_not_repeated_at_once() {
+    let mut proposer = Proposer::new(writer("a", 1), vec![Rank(0)], 1, Pace::new(10, 60), at(0));
+    let ledger = MapLedger::begin(0);
+    assert!(proposer.propose(at(0), &ledger).is_some());
+    assert_eq!(proposer.propose(at(1_999), &ledger), None);
+    assert!(proposer.propose(at(2_000), &ledger).is_some());
+}
+
+// Retention would drop the only generation of a quiet group.
+#[test]
+fn quiet_group_repeats_its_state() {
+    let mut proposer = Proposer::new(writer("a", 1), vec![Rank(0)], 1, Pace::new(10, 60), at(0));
+    let mut ledger = MapLedger::begin(0);
+    ledger.apply(0, &generation(1, &[("a", 1)]));
+    proposer.observe(at(0), &ledger);
+    assert_eq!(proposer.propose(at(599_999), &ledger), None);
+    assert_eq!(proposer.propose(at(600_000), &ledger), ledger.snapshot());
+    proposer.snapshot_seen(at(600_500));
+    assert_eq!(proposer.propose(at(1_200_000), &ledger), None);
+}
+
+// A pace whose permits reach the hold step could commit no switch.
+#[test]
+fn hold_step_lies_beyond_the_permits_for_any_step_time() {
+    for step_us in [0, 1, 2_000, 28_000, 1_000_000, u64::MAX] {
+        let pace = Pace::of_step_us(step_us);
+        assert!(pace.hold_lead() > pace.permit_ahead(), "{step_us} us");
+    }
+}
