Run streamed answers on virtual time

The case streams known answers from four servers through real request machines while servers die and frames are lost, repeated, late or handed to another call. The checker compares every byte that a caller received with its own answer, and demands that an incomplete answer is marked as such.

--- a/crates/fuchsiabay-prove/src/lib.rs
+++ b/crates/fuchsiabay-prove/src/lib.rs
@@ -24,6 +24,8 @@
 mod schedule;
 mod script;
 mod step;
+mod stream_script;
+mod stream_world;
 mod trace;
 
 pub use mechanism::{MECHANISMS, Mechanism};
--- a/crates/fuchsiabay-prove/src/mechanism.rs
+++ b/crates/fuchsiabay-prove/src/mechanism.rs
@@ -60,6 +60,9 @@
         "off: a reader that cannot be asked does not end the outage mode",
         Promise::Config,
     ),
+    mechanism("total-tokens", "off: the end of an attempt ends the answer", Promise::WholeAnswer),
+    mechanism("contiguous-tokens", "off: tokens are appended after a gap", Promise::WholeAnswer),
+    mechanism("drop-late-frames", "off: frames of other attempts are taken", Promise::WholeAnswer),
 ];
 
 const fn mechanism(name: &'static str, description: &'static str, promise: Promise) -> Mechanism {
--- a/crates/fuchsiabay-prove/src/promise.rs
+++ b/crates/fuchsiabay-prove/src/promise.rs
@@ -14,11 +14,13 @@
     NotRunIsTrue,
     /// An accepted configuration is in force everywhere within 6 s and never reverts.
     Config,
+    /// A caller receives its own answer, and an incomplete one never passes as complete.
+    WholeAnswer,
 }
 
 impl Promise {
     /// Every promise, in the order of a run.
-    pub const ALL: &[Self] = &[Self::AtMostOnce, Self::NotRunIsTrue, Self::Config];
+    pub const ALL: &[Self] = &[Self::AtMostOnce, Self::NotRunIsTrue, Self::Config, Self::WholeAnswer];
 
     /// Returns the name on the command line.
     pub const fn name(self) -> &'static str {
@@ -26,6 +28,7 @@
             Self::AtMostOnce => "at-most-once",
             Self::NotRunIsTrue => "not-run-is-true",
             Self::Config => "config",
+            Self::WholeAnswer => "whole-answer",
         }
     }
 
@@ -39,6 +42,9 @@
             Self::Config => {
                 "an accepted configuration is in force everywhere within 6 s and never reverts, with one preset"
             }
+            Self::WholeAnswer => {
+                "a caller receives the complete answer to its own request, or a visibly incomplete one"
+            }
         }
     }
 }
--- /dev/null
+++ b/crates/fuchsiabay-prove/src/stream_world.rs
@@ -0,0 +1,380 @@
+//! Entries with request machines and four servers that stream known answers.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use fuchsiabay_base::{AttemptId, Generation, InstanceId, Timestamp, Verdict, WriterId};
+use fuchsiabay_routing::{
+    Command, Dispatch, Event as EntryEvent, Failure, NoServer, RequestKind, RequestMachine, Standing,
+};
+use fuchsiabay_wire::{End, Tokens};
+
+use crate::{
+    Outcome, Step,
+    schedule::Schedule,
+    stream_script::{SERVERS, StreamAction},
+};
+
+const START: Timestamp = Timestamp::from_millis(1_000_000);
+/// How long a case goes on after its last action: longer than every deadline.
+const SETTLE_MS: u64 = 70_000;
+/// How long an entry waits for a frame before it gives the attempt up.
+const SILENCE_MS: u64 = 2_000;
+/// The pause before a retry.
+const BACKOFF_MS: u64 = 50;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Act(usize),
+    Restart(usize),
+    Frame {
+        server: usize,
+        life: u64,
+        call: usize,
+        frame: Frame,
+    },
+    Lost {
+        call: usize,
+        attempt: u64,
+    },
+    /// The entry checks whether an attempt is still alive.
+    Silence {
+        call: usize,
+        attempt: u64,
+        frames: u64,
+    },
+    Woken {
+        call: usize,
+    },
+    Deadline {
+        call: usize,
+    },
+    Cancelled {
+        call: usize,
+        attempt: u64,
+    },
+}
+
+#[derive(Clone, Debug)]
+enum Frame {
+    Tokens(Tokens),
+    End(End),
+}
+
+impl Frame {
+    fn attempt(&self) -> u64 {
+        match self {
+            Self::Tokens(tokens) => tokens.attempt.0,
+            Self::End(end) => end.attempt.0,
+        }
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Target {
+    server: usize,
+    writer: WriterId,
+}
+
+#[derive(Debug, Default)]
+struct Server {
+    life: u64,
+    alive: bool,
+    drops_until: Timestamp,
+    repeats_until: Timestamp,
+    late_until: Timestamp,
+    late_ms: u64,
+    misdelivers_until: Timestamp,
+    ignores_until: Timestamp,
+    ends_early_until: Timestamp,
+}
+
+struct Call {
+    tokens: u32,
+    machine: RequestMachine<Target>,
+    /// What the caller received.
+    received: String,
+    frames: u64,
+    result: Option<Result<(), Failure>>,
+}
+
+struct EntryContext<'a> {
+    servers: &'a [Server],
+    rng: &'a mut fastrand::Rng,
+    next_attempt: &'a mut u64,
+}
+
+impl Dispatch for EntryContext<'_> {
+    type Target = Target;
+
+    fn id(target: &Target) -> &WriterId {
+        &target.writer
+    }
+
+    fn place(&mut self, tried: &[WriterId], now: Timestamp) -> Result<Target, NoServer> {
+        let mut targets: Vec<Target> = (0..SERVERS)
+            .filter(|server| self.servers[*server].alive)
+            .map(|server| Target { server, writer: writer(server, self.servers[server].life) })
+            .filter(|target| !tried.contains(&target.writer))
+            .collect();
+        if targets.is_empty() {
+            return Err(NoServer { retry_at: Some(now) });
+        }
+        Ok(targets.swap_remove(self.rng.usize(0..targets.len())))
+    }
+
+    fn next_attempt(&mut self) -> AttemptId {
+        *self.next_attempt += 1;
+        AttemptId(*self.next_attempt)
+    }
+
+    fn take_retry(&mut self, _now: Timestamp) -> bool {
+        true
+    }
+
+    fn backoff(&mut self, now: Timestamp) -> Timestamp {
+        now.plus_millis(BACKOFF_MS)
+    }
+
+    fn report_crash(&mut self, _server: &WriterId, _now: Timestamp) -> Standing {
+        Standing::Innocent
+    }
+}
+
+pub(crate) struct StreamWorld<'a> {
+    steps: &'a [Step<StreamAction>],
+    schedule: Schedule<Event>,
+    rng: fastrand::Rng,
+    servers: Vec<Server>,
+    calls: Vec<Call>,
+    /// The call and the server of each attempt.
+    attempts: BTreeMap<u64, (usize, usize)>,
+    cancelled: BTreeSet<u64>,
+    next_attempt: u64,
+    outcome: Outcome,
+}
+
+impl<'a> StreamWorld<'a> {
+    pub(crate) fn run(steps: &'a [Step<StreamAction>], seed: u64) -> Outcome {
+        let server = || Server { life: 1, alive: true, ..Server::default() };
+        let mut world = Self {
+            steps,
+            schedule: Schedule::new(START),
+            rng: fastrand::Rng::with_seed(seed),
+            servers: (0..SERVERS).map(|_| server()).collect(),
+            calls: Vec::new(),
+            attempts: BTreeMap::new(),
+            cancelled: BTreeSet::new(),
+            next_attempt: 0,
+            outcome: Outcome::default(),
+        };
+        for (i, step) in steps.iter().enumerate() {
+            world.schedule.after(step.at_ms, Event::Act(i));
+        }
+        let last = steps.iter().map(|step| step.at_ms).max().unwrap_or(0);
+        while let Some(event) = world.schedule.next(START.plus_millis(last + SETTLE_MS)) {
+            world.handle(event);
+        }
+        world.judge()
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Act(i) => self.act(&self.steps[i].action),
+            Event::Restart(server) => self.servers[server].alive = true,
+            Event::Frame { server, life, call, frame } => self.deliver(server, life, call, &frame),
+            Event::Lost { call, attempt } => {
+                self.drive(call, EntryEvent::ConnectionLost { attempt: AttemptId(attempt) });
+            }
+            Event::Silence { call, attempt, frames } => {
+                if self.calls[call].frames == frames {
+                    self.drive(call, EntryEvent::Unanswered { attempt: AttemptId(attempt) });
+                } else {
+                    self.watch(call, attempt);
+                }
+            }
+            Event::Woken { call } => self.drive(call, EntryEvent::Woken),
+            Event::Deadline { call } => self.drive(call, EntryEvent::Deadline),
+            Event::Cancelled { call, attempt } => {
+                let attempt = AttemptId(attempt);
+                self.drive(call, EntryEvent::Cancelled { attempt, verdict: Verdict::MayHaveRun });
+            }
+        }
+    }
+
+    fn act(&mut self, action: &StreamAction) {
+        let until = |ms: u64| self.schedule.now().plus_millis(ms);
+        match *action {
+            StreamAction::Call { tokens, deadline_ms } => {
+                let call = self.calls.len();
+                let deadline = until(deadline_ms);
+                let machine = RequestMachine::new(RequestKind::Generate, true, false, deadline);
+                self.calls.push(Call { tokens, machine, received: String::new(), frames: 0, result: None });
+                self.schedule.after(deadline_ms, Event::Deadline { call });
+                self.drive(call, EntryEvent::Start);
+            }
+            StreamAction::Kill { server, ms } => self.kill(server, ms),
+            StreamAction::DropFrames { server, ms } => self.servers[server].drops_until = until(ms),
+            StreamAction::RepeatFrames { server, ms } => self.servers[server].repeats_until = until(ms),
+            StreamAction::DelayFrames { server, ms, by_ms } => {
+                self.servers[server].late_until = until(ms);
+                self.servers[server].late_ms = by_ms;
+            }
+            StreamAction::MisdeliverFrames { server, ms } => {
+                self.servers[server].misdelivers_until = until(ms);
+            }
+            StreamAction::IgnoreCancels { server, ms } => self.servers[server].ignores_until = until(ms),
+            StreamAction::EndEarly { server, ms } => self.servers[server].ends_early_until = until(ms),
+        }
+    }
+
+    fn kill(&mut self, server: usize, ms: u64) {
+        if !self.servers[server].alive {
+            return;
+        }
+        self.servers[server].alive = false;
+        self.servers[server].life += 1;
+        self.schedule.after(ms, Event::Restart(server));
+        for (attempt, (call, _)) in self.attempts.iter().filter(|(_, (_, at))| *at == server) {
+            let delay = self.rng.u64(1..5);
+            self.schedule.after(delay, Event::Lost { call: *call, attempt: *attempt });
+        }
+    }
+
+    /// Streams the answer of an attempt: all frames are scheduled now and may be lost on the way.
+    fn stream(&mut self, call: usize, attempt: u64, server: usize, resume_from: u32) {
+        let total = self.calls[call].tokens;
+        let life = self.servers[server].life;
+        let id = AttemptId(attempt);
+        let mut at = self.schedule.now().plus_millis(self.rng.u64(2..30));
+        let mut first = resume_from;
+        let early = self.schedule.now() < self.servers[server].ends_early_until;
+        let end = if early { resume_from + (total - resume_from) / 2 } else { total };
+        while first < end {
+            let count = self.rng.u32(1..5).min(end - first);
+            let text = answer(call, first, first + count).into_bytes();
+            let tokens = Tokens { attempt: id, first, count: count as u16, text };
+            self.schedule.at(at, Event::Frame { server, life, call, frame: Frame::Tokens(tokens) });
+            first += count;
+            at = at.plus_millis(self.rng.u64(5..30));
+        }
+        let end =
+            End { attempt: id, verdict: Verdict::Ran, total_tokens: total, error: None, response: None };
+        self.schedule.at(at, Event::Frame { server, life, call, frame: Frame::End(end) });
+    }
+
+    /// Carries a frame to the entry, with the faults of its server.
+    fn deliver(&mut self, server: usize, life: u64, call: usize, frame: &Frame) {
+        let now = self.schedule.now();
+        let state = &mut self.servers[server];
+        let stopped = self.cancelled.contains(&frame.attempt()) && now >= state.ignores_until;
+        if state.life != life || stopped || now < state.drops_until {
+            return;
+        }
+        if now < state.late_until && self.rng.bool() {
+            let by_ms = self.rng.u64(1..=state.late_ms);
+            let frame = frame.clone();
+            return self.schedule.after(by_ms, Event::Frame { server, life, call, frame });
+        }
+        let repeated = now < state.repeats_until;
+        let misdelivered = now < state.misdelivers_until;
+        for _ in 0..=usize::from(repeated) {
+            self.hand_over(call, frame);
+        }
+        if misdelivered {
+            let other = self.rng.usize(0..self.calls.len());
+            self.hand_over(other, frame);
+        }
+    }
+
+    fn hand_over(&mut self, call: usize, frame: &Frame) {
+        self.calls[call].frames += 1;
+        match frame {
+            Frame::Tokens(tokens) => self.drive(call, EntryEvent::Tokens(tokens)),
+            Frame::End(end) => self.drive(call, EntryEvent::End(end)),
+        }
+    }
+
+    fn watch(&mut self, call: usize, attempt: u64) {
+        let frames = self.calls[call].frames;
+        if self.calls[call].result.is_none() {
+            self.schedule.after(SILENCE_MS, Event::Silence { call, attempt, frames });
+        }
+    }
+
+    fn drive(&mut self, index: usize, event: EntryEvent<'_>) {
+        let now = self.schedule.now();
+        let mut cx =
+            EntryContext { servers: &self.servers, rng: &mut self.rng, next_attempt: &mut self.next_attempt };
+        self.calls[index].machine.handle(event, &mut cx, now);
+        while let Some(command) = self.calls[index].machine.next_command() {
+            self.execute(index, command);
+        }
+    }
+
+    fn execute(&mut self, index: usize, command: Command<Target>) {
+        let call = &mut self.calls[index];
+        match command {
+            Command::Submit { attempt, target, resume_from, .. } => {
+                self.attempts.insert(attempt.0, (index, target.server));
+                self.stream(index, attempt.0, target.server, resume_from);
+                self.watch(index, attempt.0);
+            }
+            Command::Wait { until } => self.schedule.at(until, Event::Woken { call: index }),
+            Command::Cancel { attempt, awaited, .. } => {
+                self.cancelled.insert(attempt.0);
+                if awaited {
+                    self.schedule.after(5, Event::Cancelled { call: index, attempt: attempt.0 });
+                }
+            }
+            Command::Write { from } => {
+                call.received.push_str(&call.machine.transcript().text()[from..]);
+                if !answer(index, 0, call.tokens).starts_with(&call.received) {
+                    self.outcome.violate(format!("call {index} received a text that is not its answer"));
+                }
+            }
+            Command::Finish => call.result = Some(Ok(())),
+            Command::Fail(failure) => call.result = Some(Err(failure)),
+            Command::ClearSuspicion => {}
+        }
+    }
+
+    fn judge(mut self) -> Outcome {
+        let faultless = !self.steps.iter().any(|step| step.action.is_fault());
+        for (i, call) in self.calls.iter().enumerate() {
+            let whole = call.received == answer(i, 0, call.tokens);
+            match &call.result {
+                None => self.outcome.violate(format!("call {i} was never answered")),
+                Some(Ok(())) => {
+                    self.outcome.fact(format!("call {i}"), "complete");
+                    if !whole {
+                        self.outcome.violate(format!("call {i} was told that a part is the whole answer"));
+                    }
+                }
+                Some(Err(failure)) => {
+                    let truncated = failure.truncated;
+                    self.outcome.fact(format!("call {i}"), if truncated { "truncated" } else { "failed" });
+                    if truncated == call.received.is_empty() {
+                        self.outcome.violate(format!("call {i} failed with a wrong truncation mark"));
+                    }
+                    if !call.received.is_empty() && failure.verdict == Verdict::NotRun {
+                        self.outcome.violate(format!("call {i} received tokens and was told not-run"));
+                    }
+                    if faultless && failure.kind != fuchsiabay_routing::FailureKind::DeadlinePassed {
+                        self.outcome.violate(format!("call {i} failed although there was no fault"));
+                    }
+                }
+            }
+        }
+        self.outcome.violations.dedup();
+        self.outcome
+    }
+}
+
+/// Returns tokens `from` to `to` of the answer to a call. Every token of every call is different.
+fn answer(call: usize, from: u32, to: u32) -> String {
+    (from..to).map(|token| format!("{call}:{token} ")).collect()
+}
+
+fn writer(server: usize, life: u64) -> WriterId {
+    WriterId { instance: InstanceId::new(format!("server-{server}")), generation: Generation(life) }
+}
