Run expert map switches on virtual time

Four ranks run in lock-step beside agents with real ledgers and step gates, while two coordinators propose, give up and repeat the state, agents die, pause and lose the log, and permits are late. The checker compares the maps of all ranks in every step, and demands that the group runs again within a second after the faults.

--- a/crates/fuchsiabay-prove/src/config_world.rs
+++ b/crates/fuchsiabay-prove/src/config_world.rs
@@ -513,8 +513,6 @@
                 self.outcome.violate(format!("the author of proposal {i} was told: {told}"));
             }
         }
-        self.outcome.violations.dedup();
-        self.outcome.violations.truncate(5);
         self.outcome
     }
 }
--- a/crates/fuchsiabay-prove/src/lib.rs
+++ b/crates/fuchsiabay-prove/src/lib.rs
@@ -15,6 +15,8 @@
 mod config_script;
 mod config_world;
 mod fake_log;
+mod map_script;
+mod map_world;
 mod mechanism;
 mod options;
 mod outcome;
--- /dev/null
+++ b/crates/fuchsiabay-prove/src/map_world.rs
@@ -0,0 +1,364 @@
+//! One group of ranks in lock-step, an agent beside each, two coordinators and one log.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use fuchsiabay_base::{Generation, InstanceId, Timestamp, WriterId};
+use fuchsiabay_experts::{ExpertMap, MapLedger, MapRecord, MapVersion, Permit, Rank, StepGate};
+
+use crate::{
+    Outcome, Step,
+    fake_log::{FakeLog, Stored},
+    map_script::{MapAction, RANKS},
+    schedule::Schedule,
+};
+
+const START: Timestamp = Timestamp::from_millis(1_000_000);
+/// How long a case goes on after its last action.
+const SETTLE_MS: u64 = 15_000;
+const RETENTION_MS: u64 = 15_000;
+const SNAPSHOT_MS: u64 = 4_000;
+const STEP_MS: u64 = 20;
+const POLL_MS: u64 = 50;
+const COORDINATOR_MS: u64 = 300;
+/// A coordinator gives a switch up after this time.
+const ABORT_MS: u64 = 4_000;
+/// Steps of one permit.
+const AHEAD: u64 = 20;
+
+#[derive(Clone, Debug)]
+enum Event {
+    Act(usize),
+    Step,
+    Poll { agent: usize, life: u64 },
+    Page { agent: usize, life: u64, records: Vec<Stored<MapRecord>> },
+    Loaded { agent: usize, life: u64, map: MapVersion },
+    Permitted { rank: usize, permit: Permit },
+    Append(MapRecord),
+    Thaw(usize),
+    Restart(usize),
+    Coordinate(usize),
+}
+
+#[derive(Debug)]
+struct Agent {
+    life: u64,
+    alive: bool,
+    ledger: Option<MapLedger>,
+    gate: StepGate,
+    loading: Option<MapVersion>,
+    inbox: Vec<Event>,
+    frozen_until: Timestamp,
+    cut_until: Timestamp,
+    late_until: Timestamp,
+    late_ms: u64,
+}
+
+#[derive(Debug, Default)]
+struct RankState {
+    permit: Option<Permit>,
+    stalled_until: Timestamp,
+}
+
+#[derive(Debug, Default)]
+struct Coordinator {
+    ledger: Option<MapLedger>,
+    pending_since: Option<Timestamp>,
+    snapshot_at: Timestamp,
+}
+
+pub(crate) struct MapWorld<'a> {
+    steps: &'a [Step<MapAction>],
+    schedule: Schedule<Event>,
+    rng: fastrand::Rng,
+    log: FakeLog<MapRecord>,
+    agents: Vec<Agent>,
+    ranks: Vec<RankState>,
+    coordinators: [Coordinator; 2],
+    next_step: u64,
+    /// The first step of each run of steps with the same map.
+    maps: Vec<(u64, MapVersion)>,
+    last_step_at: Timestamp,
+    outcome: Outcome,
+}
+
+impl<'a> MapWorld<'a> {
+    pub(crate) fn run(steps: &'a [Step<MapAction>], seed: u64) -> Outcome {
+        let mut world = Self {
+            steps,
+            schedule: Schedule::new(START),
+            rng: fastrand::Rng::with_seed(seed),
+            log: FakeLog::new(RETENTION_MS),
+            agents: (0..RANKS).map(|agent| Agent::new(agent, 1)).collect(),
+            ranks: (0..RANKS).map(|_| RankState::default()).collect(),
+            coordinators: Default::default(),
+            next_step: 0,
+            maps: Vec::new(),
+            last_step_at: START,
+            outcome: Outcome::default(),
+        };
+        for (i, step) in steps.iter().enumerate() {
+            world.schedule.after(step.at_ms, Event::Act(i));
+        }
+        for agent in 0..RANKS {
+            world.schedule.after(agent as u64, Event::Poll { agent, life: 1 });
+        }
+        world.schedule.after(0, Event::Coordinate(0));
+        world.schedule.after(150, Event::Coordinate(1));
+        world.schedule.after(0, Event::Step);
+        let last = steps.iter().map(|step| step.at_ms).max().unwrap_or(0);
+        while let Some(event) = world.schedule.next(START.plus_millis(last + SETTLE_MS)) {
+            world.handle(event);
+        }
+        world.judge()
+    }
+
+    fn delay(&mut self, agent: usize) -> u64 {
+        let state = &self.agents[agent];
+        let late = if self.schedule.now() < state.late_until { state.late_ms } else { 0 };
+        self.rng.u64(1..5) + self.rng.u64(0..=late)
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Act(i) => self.act(&self.steps[i].action),
+            Event::Step => {
+                self.step();
+                self.schedule.after(STEP_MS, Event::Step);
+            }
+            Event::Poll { agent, life }
+            | Event::Page { agent, life, .. }
+            | Event::Loaded { agent, life, .. } => {
+                let state = &mut self.agents[agent];
+                if !state.alive || state.life != life {
+                    return;
+                }
+                if self.schedule.now() < state.frozen_until {
+                    return state.inbox.push(event);
+                }
+                self.receive(agent, event);
+            }
+            Event::Permitted { rank, permit } => self.ranks[rank].permit = Some(permit),
+            Event::Append(record) => {
+                let now = self.schedule.now();
+                if !self.log.is_down(now) {
+                    self.log.append(now, record);
+                }
+            }
+            Event::Thaw(agent) => {
+                let mut inbox = std::mem::take(&mut self.agents[agent].inbox);
+                self.rng.shuffle(&mut inbox);
+                inbox.into_iter().for_each(|event| self.handle(event));
+            }
+            Event::Restart(agent) => {
+                // The new life asks its server for the last step; permits of the old life may still be on the way.
+                self.agents[agent].gate.resume_after(self.next_step + AHEAD);
+                self.agents[agent].alive = true;
+                let life = self.agents[agent].life;
+                self.schedule.after(0, Event::Poll { agent, life });
+            }
+            Event::Coordinate(coordinator) => {
+                self.coordinate(coordinator);
+                self.schedule.after(COORDINATOR_MS, Event::Coordinate(coordinator));
+            }
+        }
+    }
+
+    fn act(&mut self, action: &MapAction) {
+        let until = |ms: u64| self.schedule.now().plus_millis(ms);
+        match *action {
+            MapAction::Switch { coordinator, ahead, takes_ms } => self.propose(coordinator, ahead, takes_ms),
+            MapAction::Kill { agent, ms } => {
+                if self.agents[agent].alive {
+                    let life = self.agents[agent].life + 1;
+                    self.agents[agent] = Agent { alive: false, ..Agent::new(agent, life) };
+                    self.schedule.after(ms, Event::Restart(agent));
+                }
+            }
+            MapAction::Freeze { agent, ms } => {
+                self.agents[agent].frozen_until = until(ms);
+                self.schedule.after(ms, Event::Thaw(agent));
+            }
+            MapAction::CutLog { agent, ms } => self.agents[agent].cut_until = until(ms),
+            MapAction::Delay { agent, ms, by_ms } => {
+                self.agents[agent].late_until = until(ms);
+                self.agents[agent].late_ms = by_ms;
+            }
+            MapAction::Stall { rank, ms } => self.ranks[rank].stalled_until = until(ms),
+            MapAction::LogOutage { ms } => self.log.fail_until(until(ms)),
+        }
+    }
+
+    /// Runs the next step when every rank has a permit for it, and compares the maps that the ranks use.
+    fn step(&mut self) {
+        let (now, step) = (self.schedule.now(), self.next_step);
+        let map_of = |rank: &RankState| {
+            let permit = rank.permit.filter(|permit| permit.through >= step && now >= rank.stalled_until);
+            permit.map(|permit| permit.map)
+        };
+        let Some(maps) = self.ranks.iter().map(map_of).collect::<Option<Vec<MapVersion>>>() else {
+            return;
+        };
+        if maps.iter().any(|map| *map != maps[0]) {
+            self.outcome.violate(format!("the ranks ran step {step} under the maps {maps:?}"));
+        }
+        if self.maps.last().is_none_or(|(_, map)| *map != maps[0]) {
+            self.maps.push((step, maps[0]));
+        }
+        self.next_step += 1;
+        self.last_step_at = now;
+    }
+
+    fn receive(&mut self, agent: usize, event: Event) {
+        match event {
+            Event::Poll { life, .. } => {
+                self.read(agent, life);
+                self.schedule.after(POLL_MS, Event::Poll { agent, life });
+            }
+            Event::Page { records, .. } => {
+                let first = records.first().map_or(0, |record| record.offset);
+                let ledger = self.agents[agent].ledger.get_or_insert_with(|| MapLedger::begin(first));
+                for record in &records {
+                    ledger.apply(record.offset, &record.data);
+                }
+            }
+            Event::Loaded { map, .. } => self.agents[agent].gate.weights_loaded(map),
+            _ => {}
+        }
+        self.act_as_agent(agent);
+    }
+
+    fn read(&mut self, agent: usize, life: u64) {
+        let now = self.schedule.now();
+        if now < self.agents[agent].cut_until || self.log.is_down(now) {
+            return;
+        }
+        let from = self.agents[agent].ledger.as_ref().map_or(0, MapLedger::next_offset);
+        let (_, records) = self.log.read(now, from);
+        if !records.is_empty() {
+            let delay = self.delay(agent);
+            self.schedule.after(delay, Event::Page { agent, life, records });
+        }
+    }
+
+    /// Loads weights, votes and grants permits by what the agent has read.
+    fn act_as_agent(&mut self, agent: usize) {
+        let delay = self.delay(agent);
+        let loading_ms = self.rng.u64(20..200);
+        let now = self.schedule.now();
+        let state = &mut self.agents[agent];
+        let Some(ledger) = &state.ledger else {
+            return;
+        };
+        let life = state.life;
+        let pending = ledger.pending().map(|pending| pending.map);
+        if let Some(map) = pending.filter(|map| state.loading != Some(*map)) {
+            state.loading = Some(map);
+            self.schedule.after(loading_ms, Event::Loaded { agent, life, map });
+        }
+        if let Some(vote) = state.gate.vote(ledger)
+            && now >= state.cut_until
+        {
+            self.schedule.after(delay, Event::Append(vote));
+        }
+        let through = self.ranks[agent].permit.map_or(0, |permit| permit.through);
+        if through >= self.next_step + AHEAD / 2 {
+            return;
+        }
+        if let Some(permit) = state.gate.permit(ledger, self.next_step, AHEAD) {
+            self.schedule.after(delay, Event::Permitted { rank: agent, permit });
+        }
+    }
+
+    fn propose(&mut self, coordinator: usize, ahead: u64, takes_ms: u64) {
+        let Some(ledger) = self.coordinators[coordinator].ledger.as_ref() else {
+            return;
+        };
+        if !ledger.is_complete() || ledger.generation() == 0 {
+            return;
+        }
+        let record = MapRecord::Prepare {
+            generation: ledger.generation(),
+            map: ledger.next_map(),
+            hold_step: self.next_step + ahead,
+            content: Arc::new(ExpertMap::default()),
+        };
+        self.schedule.after(takes_ms, Event::Append(record));
+    }
+
+    /// Reads the log, names the agents of the group, gives up switches that take too long, and repeats the state.
+    fn coordinate(&mut self, index: usize) {
+        let now = self.schedule.now();
+        if self.log.is_down(now) {
+            return;
+        }
+        let delay = self.rng.u64(1..100);
+        let writers: BTreeMap<Rank, WriterId> =
+            (0..RANKS).map(|agent| (Rank(agent as u16), writer(agent, self.agents[agent].life))).collect();
+        let coordinator = &mut self.coordinators[index];
+        let ledger = coordinator.ledger.get_or_insert_with(|| MapLedger::begin(0));
+        let (_, records) = self.log.read(now, ledger.next_offset());
+        for record in &records {
+            ledger.apply(record.offset, &record.data);
+        }
+        if ledger.is_complete() && *ledger.ranks() != writers {
+            let record = MapRecord::Generation { generation: ledger.generation() + 1, ranks: writers };
+            return self.schedule.after(delay, Event::Append(record));
+        }
+        let Some(pending) = ledger.pending() else {
+            coordinator.pending_since = None;
+            if now >= coordinator.snapshot_at
+                && let Some(snapshot) = ledger.snapshot()
+            {
+                coordinator.snapshot_at = now.plus_millis(SNAPSHOT_MS);
+                self.schedule.after(delay, Event::Append(snapshot));
+            }
+            return;
+        };
+        let since = *coordinator.pending_since.get_or_insert(now);
+        if now >= since.plus_millis(ABORT_MS) {
+            coordinator.pending_since = None;
+            self.schedule.after(delay, Event::Append(MapRecord::Abort { switch: pending.switch }));
+        }
+    }
+
+    fn judge(mut self) -> Outcome {
+        let now = self.schedule.now();
+        if now.millis_since(self.last_step_at) > 1_000 {
+            self.outcome.violate(format!("the group stands still at step {}", self.next_step));
+        }
+        let faultless = !self.steps.iter().any(|step| step.action.is_fault());
+        // Permits run ahead of the steps, so that agents vote only for hold steps that are far enough ahead.
+        let in_time = |action: &MapAction| match action {
+            MapAction::Switch { ahead, takes_ms, .. } => *ahead > 2 * AHEAD + takes_ms / STEP_MS,
+            _ => false,
+        };
+        if faultless && self.steps.first().is_some_and(|step| in_time(&step.action)) && self.maps.len() < 2 {
+            self.outcome.violate("the first switch had no effect although there was no fault");
+        }
+        for (step, map) in &self.maps {
+            self.outcome.fact(format!("map {}", map.0), format!("from step {step}"));
+        }
+        self.outcome
+    }
+}
+
+impl Agent {
+    fn new(agent: usize, life: u64) -> Self {
+        Self {
+            life,
+            alive: true,
+            ledger: None,
+            gate: StepGate::new(writer(agent, life)),
+            loading: None,
+            inbox: Vec::new(),
+            frozen_until: Timestamp::ZERO,
+            cut_until: Timestamp::ZERO,
+            late_until: Timestamp::ZERO,
+            late_ms: 0,
+        }
+    }
+}
+
+fn writer(agent: usize, life: u64) -> WriterId {
+    WriterId { instance: InstanceId::new(format!("agent-{agent}")), generation: Generation(life) }
+}
--- a/crates/fuchsiabay-prove/src/mechanism.rs
+++ b/crates/fuchsiabay-prove/src/mechanism.rs
@@ -60,6 +60,8 @@
         "off: a reader that cannot be asked does not end the outage mode",
         Promise::Config,
     ),
+    mechanism("hold-step", "off: a rank passes the hold step before the decision", Promise::ExpertMap),
+    mechanism("unanimous-votes", "off: one vote decides a switch", Promise::ExpertMap),
     mechanism("total-tokens", "off: the end of an attempt ends the answer", Promise::WholeAnswer),
     mechanism("contiguous-tokens", "off: tokens are appended after a gap", Promise::WholeAnswer),
     mechanism("drop-late-frames", "off: frames of other attempts are taken", Promise::WholeAnswer),
--- a/crates/fuchsiabay-prove/src/outcome.rs
+++ b/crates/fuchsiabay-prove/src/outcome.rs
@@ -4,6 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
+/// The violations that a trace lists.
+const KEPT_VIOLATIONS: usize = 5;
+
 /// The observed effects of a case and the promises that they break.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -15,9 +18,12 @@
 }
 
 impl Outcome {
-    /// Notes a violation.
+    /// Notes a violation. Only the first few are kept: the others follow from them.
     pub(crate) fn violate(&mut self, text: impl Into<String>) {
-        self.violations.push(text.into());
+        let text = text.into();
+        if self.violations.len() < KEPT_VIOLATIONS && !self.violations.contains(&text) {
+            self.violations.push(text);
+        }
     }
 
     /// Notes an observation.
--- a/crates/fuchsiabay-prove/src/promise.rs
+++ b/crates/fuchsiabay-prove/src/promise.rs
@@ -14,13 +14,16 @@
     NotRunIsTrue,
     /// An accepted configuration is in force everywhere within 6 s and never reverts.
     Config,
+    /// All ranks of a group use the same expert map in every step.
+    ExpertMap,
     /// A caller receives its own answer, and an incomplete one never passes as complete.
     WholeAnswer,
 }
 
 impl Promise {
     /// Every promise, in the order of a run.
-    pub const ALL: &[Self] = &[Self::AtMostOnce, Self::NotRunIsTrue, Self::Config, Self::WholeAnswer];
+    pub const ALL: &[Self] =
+        &[Self::AtMostOnce, Self::NotRunIsTrue, Self::Config, Self::ExpertMap, Self::WholeAnswer];
 
     /// Returns the name on the command line.
     pub const fn name(self) -> &'static str {
@@ -28,6 +31,7 @@
             Self::AtMostOnce => "at-most-once",
             Self::NotRunIsTrue => "not-run-is-true",
             Self::Config => "config",
+            Self::ExpertMap => "expert-map",
             Self::WholeAnswer => "whole-answer",
         }
     }
@@ -42,6 +46,7 @@
             Self::Config => {
                 "an accepted configuration is in force everywhere within 6 s and never reverts, with one preset"
             }
+            Self::ExpertMap => "all ranks of a group use the same expert map in every step",
             Self::WholeAnswer => {
                 "a caller receives the complete answer to its own request, or a visibly incomplete one"
             }
--- a/crates/fuchsiabay-prove/src/script.rs
+++ b/crates/fuchsiabay-prove/src/script.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     Outcome, Promise, Step, claims_script::ClaimAction, claims_world::ClaimsWorld,
-    config_script::ConfigAction, config_world::ConfigWorld, stream_script::StreamAction,
-    stream_world::StreamWorld,
+    config_script::ConfigAction, config_world::ConfigWorld, map_script::MapAction, map_world::MapWorld,
+    stream_script::StreamAction, stream_world::StreamWorld,
 };
 
 /// The actions of a case: the part of a trace that can be read and shortened.
@@ -17,6 +17,8 @@
     Claims(Vec<Step<ClaimAction>>),
     /// Publishes and preset switches against twelve processes.
     Config(Vec<Step<ConfigAction>>),
+    /// Map switches of a group of four ranks.
+    Maps(Vec<Step<MapAction>>),
     /// Streamed answers of four backend servers.
     Streams(Vec<Step<StreamAction>>),
 }
@@ -27,6 +29,7 @@
         match promise {
             Promise::AtMostOnce | Promise::NotRunIsTrue => Self::Claims(ClaimAction::script(rng)),
             Promise::Config => Self::Config(ConfigAction::script(rng)),
+            Promise::ExpertMap => Self::Maps(MapAction::script(rng)),
             Promise::WholeAnswer => Self::Streams(StreamAction::script(rng)),
         }
     }
@@ -36,6 +39,7 @@
         match self {
             Self::Claims(steps) => ClaimsWorld::run(steps, promise, seed),
             Self::Config(steps) => ConfigWorld::run(steps, seed),
+            Self::Maps(steps) => MapWorld::run(steps, seed),
             Self::Streams(steps) => StreamWorld::run(steps, seed),
         }
     }
@@ -45,6 +49,7 @@
         match self {
             Self::Claims(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
             Self::Config(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
+            Self::Maps(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
             Self::Streams(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
         }
     }
@@ -54,6 +59,7 @@
         match self {
             Self::Claims(steps) => steps.len(),
             Self::Config(steps) => steps.len(),
+            Self::Maps(steps) => steps.len(),
             Self::Streams(steps) => steps.len(),
         }
     }
@@ -64,6 +70,7 @@
         match &mut script {
             Self::Claims(steps) => drop(steps.remove(i)),
             Self::Config(steps) => drop(steps.remove(i)),
+            Self::Maps(steps) => drop(steps.remove(i)),
             Self::Streams(steps) => drop(steps.remove(i)),
         }
         script
--- a/crates/fuchsiabay-prove/src/stream_world.rs
+++ b/crates/fuchsiabay-prove/src/stream_world.rs
@@ -365,7 +365,6 @@
                 }
             }
         }
-        self.outcome.violations.dedup();
         self.outcome
     }
 }
