Relay changes of the configuration as steps

A reader of the configuration serves some 30 instances. Steps that do not apply make the next pull ask for the whole state.

--- a/crates/fuchsiabay-follow/src/follower.rs
+++ b/crates/fuchsiabay-follow/src/follower.rs
@@ -2,13 +2,15 @@
 
 use std::sync::Arc;
 
-use fuchsiabay_base::{InstanceId, Timestamp, ZoneName};
+use fuchsiabay_base::{Fingerprint, InstanceId, Timestamp, ZoneName};
 use fuchsiabay_config::{ConfigRecord, ConfigReducer, Freshness, InForce, Millis, Readers};
 use fuchsiabay_runtime::{Instance, InstanceState, LogPage, Peer, monotonic_now};
 use fuchsiabay_wire::{ConfigPullReply, ConfigPullRequest, Role};
 use parking_lot::{Mutex, RwLock};
 use serde_json::{Value, json};
 
+use crate::history::{self, History};
+
 /// The time that a neighbour has to answer a pull, in milliseconds. Two tries fit into the freshness window.
 const PULL_TIMEOUT_MS: u64 = 1_500;
 
@@ -30,13 +32,24 @@
     reducer: ConfigReducer,
     freshness: Freshness,
     readers: Readers,
+    history: History,
+    hash: Option<Fingerprint>,
+    /// The steps of a neighbour did not apply, so the next pull asks for the whole state.
+    wants_whole: bool,
 }
 
 impl ConfigFollower {
     /// Returns the follower of the process `own` in `zone`, which knows no configuration yet.
     pub fn new(own: InstanceId, zone: ZoneName) -> Arc<Self> {
         let freshness = Freshness::new(own.clone());
-        let state = State { reducer: ConfigReducer::default(), freshness, readers: Readers::default() };
+        let state = State {
+            reducer: ConfigReducer::default(),
+            freshness,
+            readers: Readers::default(),
+            history: History::default(),
+            hash: None,
+            wants_whole: false,
+        };
         Arc::new(Self { own, zone, state: Mutex::new(state), current: RwLock::new(None) })
     }
 
@@ -62,11 +75,15 @@
     /// Answers a neighbour.
     pub fn reply(&self, req: &ConfigPullRequest, now: Timestamp) -> ConfigPullReply {
         let state = self.state.lock();
-        let in_force = state.reducer.in_force().filter(|in_force| in_force.version > req.have_version);
+        let newer = state.reducer.in_force().filter(|in_force| in_force.version > req.have_version);
+        let steps = newer.and_then(|_| state.history.since(req.have_version)).unwrap_or_default();
+        let whole = newer.filter(|_| steps.is_empty());
         ConfigPullReply {
             version: state.reducer.version(),
             age_ms: state.freshness.age_ms(now).unwrap_or(u64::MAX),
-            state: in_force.and_then(|in_force| serde_json::to_value(in_force.as_ref()).ok()),
+            state: whole.and_then(|in_force| serde_json::to_value(in_force.as_ref()).ok()),
+            state_hash: if steps.is_empty() { None } else { state.hash },
+            steps,
             reader: state.readers.contains(&self.own),
             log_down: state.freshness.log_down(now),
         }
@@ -101,7 +118,7 @@
     /// Pulls from one neighbour. Returns whether the configuration is fresh afterwards.
     pub async fn pull_from(&self, peer: &Peer) -> bool {
         let asked_at = monotonic_now();
-        let req = ConfigPullRequest { have_version: self.current().map_or(0, |in_force| in_force.version) };
+        let req = ConfigPullRequest { have_version: self.pull_version() };
         let reply = peer.call("config_pull", &req, asked_at.plus_millis(PULL_TIMEOUT_MS)).await;
         match reply {
             Ok(reply) => self.take_reply(&peer.hello().instance, asked_at, reply),
@@ -113,27 +130,26 @@
         self.is_fresh(monotonic_now())
     }
 
+    fn pull_version(&self) -> u64 {
+        let state = self.state.lock();
+        if state.wants_whole { 0 } else { state.reducer.version() }
+    }
+
     pub(crate) fn reader_unreachable(&self, reader: &InstanceId) {
         self.state.lock().freshness.reader_unreachable(reader);
     }
 
-    fn take_reply(&self, neighbour: &InstanceId, asked_at: Timestamp, reply: ConfigPullReply) {
+    fn take_reply(&self, neighbour: &InstanceId, asked_at: Timestamp, mut reply: ConfigPullReply) {
         let mut state = self.state.lock();
-        if let Some(value) = reply.state {
-            match serde_json::from_value(value) {
-                Ok(in_force) => _ = state.reducer.adopt(in_force),
-                Err(error) => {
-                    log::warn!("config: state of {neighbour} is not understood: {error}");
-                    return;
-                }
-            }
+        if !state.take(neighbour, &mut reply) {
+            return;
         }
         state.freshness.reader_answered(neighbour, asked_at, reply.log_down);
         // The neighbour's proof covers its own version. A process with a lower one has not caught up.
         if reply.version != 0 && state.reducer.version() >= reply.version {
             state.freshness.proved(asked_at, reply.age_ms);
         }
-        self.publish(&state);
+        self.publish(&mut state);
     }
 
     /// Applies a page of the log that was asked for at `asked_at`. Returns whether more records wait.
@@ -148,7 +164,7 @@
         if !more && state.reducer.reduced_version().is_some() {
             state.freshness.log_read(asked_at);
         }
-        self.publish(&state);
+        self.publish(&mut state);
         more
     }
 
@@ -195,16 +211,51 @@
         state.reducer.snapshot()
     }
 
-    fn publish(&self, state: &State) {
-        let version = self.current.read().as_ref().map_or(0, |in_force| in_force.version);
+    fn publish(&self, state: &mut State) {
+        let before = self.current();
+        let version = before.as_ref().map_or(0, |in_force| in_force.version);
         let Some(in_force) = state.reducer.in_force().filter(|in_force| in_force.version > version) else {
             return;
         };
+        state.hash = history::hash(in_force);
+        if let Some(before) = before.filter(|_| state.history.since(version).is_none()) {
+            state.history.record(&before, in_force);
+        }
         log::info!("config: version {} with preset {} is in force", in_force.version, in_force.preset_name);
         *self.current.write() = Some(Arc::clone(in_force));
     }
 }
 
+impl State {
+    /// Takes the neighbour's state over. Returns whether it was understood.
+    fn take(&mut self, neighbour: &InstanceId, reply: &mut ConfigPullReply) -> bool {
+        if let Some(value) = reply.state.take() {
+            let Ok(in_force) = serde_json::from_value(value) else {
+                log::warn!("config: state of {neighbour} is not understood");
+                return false;
+            };
+            self.wants_whole = false;
+            self.reducer.adopt(in_force);
+            return true;
+        }
+        let (Some(last), Some(current)) = (reply.steps.last(), self.reducer.in_force()) else {
+            return true;
+        };
+        // The log or another neighbour may have been faster.
+        if last.to <= current.version {
+            return true;
+        }
+        let Some(in_force) = History::apply(current, &reply.steps, reply.state_hash) else {
+            log::warn!("config: steps of {neighbour} do not apply; asking for the whole state");
+            self.wants_whole = true;
+            return false;
+        };
+        self.reducer.adopt(in_force);
+        self.history.extend(std::mem::take(&mut reply.steps));
+        true
+    }
+}
+
 /// Half of the freshness window, in milliseconds. A process that is this far without a proof looks elsewhere while there
 /// is still time.
 const AGEING_MS: u64 = fuchsiabay_config::FRESH_MS / 2;
--- a/crates/fuchsiabay-follow/src/lib.rs
+++ b/crates/fuchsiabay-follow/src/lib.rs
@@ -5,9 +5,11 @@
 
 mod entry_follower;
 mod follower;
+mod history;
 mod links;
 mod neighbour;
 
 pub use entry_follower::run_entry;
 pub use follower::ConfigFollower;
+pub use history::{History, hash as state_hash};
 pub use neighbour::{NeighbourSource, run_agent};
--- /dev/null
+++ b/crates/fuchsiabay-follow/tests/history.rs
@@ -0,0 +1,75 @@
+//! Steps between versions lead to the same state as the whole state does, or to none.
+
+use std::collections::BTreeMap;
+
+use fuchsiabay_base::{ServiceName, WorkspaceId};
+use fuchsiabay_config::{Document, InForce, Millis, Preset, Service, ServiceKind, Workspace};
+use fuchsiabay_follow::{History, state_hash};
+
+fn preset(queue_limit: u32) -> Preset {
+    Preset {
+        queue_limit,
+        long_share_percent: 50,
+        ageing_ms: Millis(1),
+        long_work_tokens: 1,
+        max_output_tokens: 1,
+        retry_budget_percent: 1,
+        spill_over_ms: Millis(1),
+        quarantine_crashes: 1,
+        quarantine_ms: Millis(1),
+        default_deadline_ms: Millis(1),
+        drain_ms: Millis(1),
+    }
+}
+
+/// Version `version` has that many workspaces and presets that differ by version.
+fn state(version: u64) -> InForce {
+    let workspace =
+        |i| (WorkspaceId::new(format!("w/{i}~")), Workspace { weight: i, tokens_per_second: None });
+    let presets = [("ordinary", 1), ("peak", version as u32)];
+    let document = Document {
+        services: BTreeMap::from([(ServiceName::new("s"), Service { kind: ServiceKind::Model })]),
+        routes: Vec::new(),
+        workspaces: (1..=version as u32).map(workspace).collect(),
+        presets: presets.into_iter().map(|(name, limit)| (name.to_owned(), preset(limit))).collect(),
+        initial_preset: "ordinary".to_owned(),
+    };
+    let name = if version.is_multiple_of(2) { "peak" } else { "ordinary" };
+    InForce::new(version, document, name.to_owned()).unwrap()
+}
+
+/// Records the versions `recorded` and checks which version the steps from `have` lead to.
+fn check(recorded: &[u64], have: u64, expected: Option<u64>) {
+    let mut history = History::default();
+    for pair in recorded.windows(2) {
+        history.record(&state(pair[0]), &state(pair[1]));
+    }
+    let last = recorded.last().copied().unwrap();
+    let steps = history.since(have);
+    let reached = steps.and_then(|steps| History::apply(&state(have), &steps, state_hash(&state(last))));
+    assert_eq!(reached, expected.map(state));
+}
+
+macro_rules! cases {
+    ($($name:ident: $recorded:expr, $have:expr => $expected:expr;)+) => {
+        $(#[test] fn $name() { check(&$recorded, $have, $expected); })+
+    };
+}
+
+cases! {
+    one_step: [1, 2], 1 => Some(2);
+    several_steps: [1, 3, 4, 9], 3 => Some(9);
+    version_between_steps: [1, 3], 2 => None;
+    too_far_behind: [3, 4], 1 => None;
+    removed_workspaces: [9, 10, 11], 9 => Some(11);
+}
+
+// A neighbour with the same version number and another content must not be taken over.
+#[test]
+fn other_content_is_refused() {
+    let mut history = History::default();
+    history.record(&state(1), &state(2));
+    let steps = history.since(1).unwrap();
+    assert_eq!(History::apply(&state(1), &steps, state_hash(&state(3))), None);
+    assert_eq!(History::apply(&state(1), &steps, None), None);
+}
--- a/crates/fuchsiabay-measure/src/capacity/messages.rs
+++ b/crates/fuchsiabay-measure/src/capacity/messages.rs
@@ -1,6 +1,7 @@
 //! Sizes of the messages between the processes.
 
 use fuchsiabay_base::{AttemptId, Fingerprint, Generation, IdempotencyKey, Timestamp, Verdict};
+use fuchsiabay_follow::{History, state_hash};
 use fuchsiabay_wire::{
     ConfigPullReply, ConfigPullRequest, End, Frame, LoadReport, Priority, SubmitReply, SubmitRequest, Tokens,
     Work,
@@ -55,9 +56,19 @@
         },
     };
     let unchanged =
-        ConfigPullReply { version: 1_000, age_ms: 400, state: None, reader: true, log_down: false };
-    let state = serde_json::to_value(configuration(9_800)).ok();
-    let changed = ConfigPullReply { state, ..unchanged.clone() };
+        ConfigPullReply { version: 1_000, age_ms: 400, reader: true, ..ConfigPullReply::default() };
+    let before = configuration(9_800);
+    let state = serde_json::to_value(&before).ok();
+    let whole = ConfigPullReply { state, ..unchanged.clone() };
+    let mut after = before.clone();
+    after.version += 1;
+    if let Some(workspace) = after.document.workspaces.values_mut().next() {
+        workspace.weight = 2;
+    }
+    let mut history = History::default();
+    history.record(&before, &after);
+    let steps = history.since(before.version).unwrap_or_default();
+    let step = ConfigPullReply { steps, state_hash: state_hash(&after), ..unchanged.clone() };
     let pull = ConfigPullRequest { have_version: 999 };
     let end = End {
         attempt: AttemptId(1_000_000),
@@ -74,7 +85,8 @@
             call_bytes("submit", &submit, &SubmitReply::Admitted { load: load() }),
         ),
         ("config pull and reply, unchanged", call_bytes("config_pull", &pull, &unchanged)),
-        ("config pull and reply, 9800 workspaces changed", call_bytes("config_pull", &pull, &changed)),
+        ("config pull and reply, 9800 workspaces, whole", call_bytes("config_pull", &pull, &whole)),
+        ("config pull and reply, one of 9800 workspaces changed", call_bytes("config_pull", &pull, &step)),
         ("one token of 5 bytes", frame_bytes(&Frame::Tokens(token))),
         ("end of an attempt", frame_bytes(&Frame::End(Box::new(end)))),
     ]
--- a/crates/fuchsiabay-measure/src/capacity/state.rs
+++ b/crates/fuchsiabay-measure/src/capacity/state.rs
@@ -209,7 +209,12 @@
     ledger.apply(0, &MapRecord::Generation { generation: 1, ranks });
     let mut offset = 1;
     for i in 1..=count {
-        let prepare = MapRecord::Prepare { generation: 1, map: MapVersion(i), hold_step: i * 400 };
+        let prepare = MapRecord::Prepare {
+            generation: 1,
+            map: MapVersion(i),
+            hold_step: i * 400,
+            content: Default::default(),
+        };
         ledger.apply(offset, &prepare);
         let switch = fuchsiabay_experts::SwitchId(offset);
         for agent in 0..8 {
--- a/crates/fuchsiabay-wire/src/config_pull.rs
+++ b/crates/fuchsiabay-wire/src/config_pull.rs
@@ -1,8 +1,11 @@
 //! Relay of the configuration between instances.
 
+use fuchsiabay_base::Fingerprint;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+use crate::ConfigStep;
+
 /// Asks for the configuration.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -20,9 +23,15 @@
     /// Milliseconds since the neighbour's version was proved current. The caller counts them from the moment
     /// it sent the pull, so that a delayed reply never looks fresher than it is.
     pub age_ms: u64,
-    /// The reduced state, when it is newer than the caller's.
+    /// The whole reduced state, when it is newer than the caller's and the steps towards it are not known.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub state: Option<Value>,
+    /// The steps from the caller's version to the neighbour's, in order.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub steps: Vec<ConfigStep>,
+    /// The content hash of the state that the steps lead to.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub state_hash: Option<Fingerprint>,
     /// Whether the neighbour reads the log itself.
     pub reader: bool,
     /// Whether the neighbour finds the log unavailable.
