Keep Server::start for a port and report the load of the machine

The figures of the request path now state the load average, because the machine is shared and a load above the number of cores shows in every p99.

--- a/crates/fuchsiabay-bench/src/cli.rs
+++ b/crates/fuchsiabay-bench/src/cli.rs
@@ -36,17 +36,19 @@
 async fn execute(command: Command) -> Result<ExitCode, String> {
     match command {
         Command::Engine(listen, settings) => {
-            announce(Server::start(listen, Engine::handler(settings)).await).await
+            announce(Server::start_at(listen, Engine::handler(settings)).await).await
         }
         Command::Service { listen, delay_ms } => {
-            announce(Server::start(listen, Service::handler(delay_ms)).await).await
+            announce(Server::start_at(listen, Service::handler(delay_ms)).await).await
+        }
+        Command::Log(listen, settings) => {
+            announce(Server::start_at(listen, Log::handler(settings)).await).await
         }
-        Command::Log(listen, settings) => announce(Server::start(listen, Log::handler(settings)).await).await,
         Command::List { listen, lag_ms } => {
-            announce(Server::start(listen, List::handler(lag_ms)).await).await
+            announce(Server::start_at(listen, List::handler(lag_ms)).await).await
         }
         Command::Weights { listen, bytes_per_second, expert_len } => {
-            announce(Server::start(listen, Weights::handler(bytes_per_second, expert_len)).await).await
+            announce(Server::start_at(listen, Weights::handler(bytes_per_second, expert_len)).await).await
         }
         Command::Load(settings) => load(settings).await,
         Command::Call { method, url, body } => call(&method, &url, body).await,
--- a/crates/fuchsiabay-bench/src/server.rs
+++ b/crates/fuchsiabay-bench/src/server.rs
@@ -15,8 +15,13 @@
 }
 
 impl Server {
+    /// Serves `handler` at `port` of 127.0.0.1. Port 0 lets the kernel choose.
+    pub async fn start(port: u16, handler: impl Handler) -> io::Result<Self> {
+        Self::start_at(SocketAddr::from(([127, 0, 0, 1], port)), handler).await
+    }
+
     /// Serves `handler` at `address`. Port 0 lets the kernel choose.
-    pub async fn start(address: SocketAddr, handler: impl Handler) -> io::Result<Self> {
+    pub async fn start_at(address: SocketAddr, handler: impl Handler) -> io::Result<Self> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
         let handle = trillium_smol::config()
--- a/crates/fuchsiabay-bench/tests/stand_ins.rs
+++ b/crates/fuchsiabay-bench/tests/stand_ins.rs
@@ -1,7 +1,5 @@
 //! The stand-ins keep the protocols of docs/platform.md.
 
-use std::net::SocketAddr;
-
 use fuchsiabay_bench::{
     Answer, CrashMode, Engine, EngineSettings, Fencing, List, Log, LogSettings, Server, Service, Weights,
 };
@@ -18,8 +16,7 @@
 
 fn check(handler: impl Handler, steps: Vec<Step>) {
     async_global_executor::block_on(async {
-        let server =
-            Server::start(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await.expect("a free port");
+        let server = Server::start(0, handler).await.expect("a free port");
         let client = Client::new(trillium_smol::ClientConfig::new());
         for (method, path, body, expected, part) in steps {
             let mut conn = client
--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -12,7 +12,7 @@
     cluster::{Cluster, Plan, Profile, read_to_end, strings},
     process::stop_all_on_interrupt,
     steps::StepError,
-    usage::{cpu_time, resident_kb},
+    usage::{cpu_time, load_average, resident_kb},
 };
 
 /// The goal for the latency that entry and agent add at p99, in microseconds.
@@ -66,8 +66,10 @@
 }
 
 fn path(seed: u64) -> Result<Value, StepError> {
+    let cores = thread::available_parallelism().map_err(start_error("count the cores"))?;
     Ok(json!({
         "seed": seed,
+        "cores": cores.get(),
         "latency": latency(seed)?,
         "throughput": throughput(seed)?,
         "memory": memory(seed)?,
@@ -116,6 +118,7 @@
     let worst = added("look_up", "p99_us").max(added("first_token", "p99_us"));
     Ok(json!({
         "requests_per_second": 200,
+        "load_average": load_average().map_err(start_error("read the load average"))?,
         "answered": through["answered"],
         "sent": through["sent"],
         "failures": through["failure_counts"],
@@ -162,6 +165,7 @@
     let tokens = report["tokens"].as_f64().unwrap_or_default();
     let per_core = tokens / (after.0 - before.0).as_secs_f64();
     Ok(json!({
+        "load_average": load_average().map_err(start_error("read the load average"))?,
         "sent": report["sent"],
         "answered": report["answered"],
         "failures": report["failure_counts"],
--- a/xtask/src/usage.rs
+++ b/xtask/src/usage.rs
@@ -24,3 +24,13 @@
     line.and_then(|line| line.split_whitespace().next()?.parse().ok())
         .ok_or_else(|| io::ErrorKind::InvalidData.into())
 }
+
+/// Returns the mean number of runnable threads of the machine over the last minute. Figures of latency mean little
+/// when it is above the number of cores.
+pub(crate) fn load_average() -> io::Result<f64> {
+    let text = fs::read_to_string("/proc/loadavg")?;
+    text.split_whitespace()
+        .next()
+        .and_then(|mean| mean.parse().ok())
+        .ok_or_else(|| io::ErrorKind::InvalidData.into())
+}
