Take paused streams off the engine and resume them

A stream that is paused at an engine may keep its slot there, so the short work that it was paused for would wait inside the engine, where the agent sees and bounds nothing. A pause now cancels the stream, and the resumed one continues at the position and text that were relayed. A frame that was not sent when the pause came is produced again.

--- a/crates/fuchsiabay-admission/src/command.rs
+++ b/crates/fuchsiabay-admission/src/command.rs
@@ -13,9 +13,9 @@
     Drop(JobId, DropReason),
     /// Cancels the running job at the backend server.
     CancelRunning(JobId),
-    /// Pauses the running job at the backend server.
+    /// Takes the running job off the backend server, so that its slot there is free.
     Pause(JobId),
-    /// Resumes the paused job at the backend server.
+    /// Runs the paused job again from where it was.
     Resume(JobId),
 }
 
--- a/crates/fuchsiabay-agent/src/agent/queries.rs
+++ b/crates/fuchsiabay-agent/src/agent/queries.rs
@@ -3,6 +3,7 @@
 use fuchsiabay_admission::JobId;
 use fuchsiabay_follow::NeighbourSource;
 use fuchsiabay_runtime::{OpsSource, Peer, monotonic_now, unix_now};
+use fuchsiabay_settings::BackendKind;
 use fuchsiabay_wire::LoadReport;
 use serde_json::{Value, json};
 
@@ -48,6 +49,8 @@
         let attempts = self.attempts.all();
         let attempts: Vec<_> =
             attempts.iter().map(|attempt| attempt_state(attempt, now.as_millis())).collect();
+        // Only plain services have claims, and only engines get orders.
+        let plain = self.params.kind == BackendKind::Plain;
         json!({
             "role": "agent",
             "instance": self.params.identity.instance,
@@ -57,8 +60,8 @@
             "backend": self.params.backend_url,
             "scheduler": self.scheduler.lock().snapshot(now),
             "attempts": attempts,
-            "claims": self.claims.status(),
-            "orders": self.orders.snapshot(unix_now()),
+            "claims": plain.then(|| self.claims.status()),
+            "orders": (!plain).then(|| self.orders.snapshot(unix_now())),
             "config": self.config.dump(now),
             "entries": self.neighbours().iter().map(|peer| peer.hello().instance.clone()).collect::<Vec<_>>(),
             "invariant_violations": fuchsiabay_base::violations(),
--- a/crates/fuchsiabay-agent/src/backend/client.rs
+++ b/crates/fuchsiabay-agent/src/backend/client.rs
@@ -18,8 +18,8 @@
 /// The largest answer to a control call.
 const MAX_CONTROL_BYTES: u64 = 1 << 20;
 
-/// The time for a cancel, pause or resume call, in milliseconds.
-const CONTROL_TIMEOUT_MS: u64 = 2_000;
+/// The time for a cancel call, in milliseconds.
+const CANCEL_TIMEOUT_MS: u64 = 2_000;
 
 /// The time for an order or a read-back, in milliseconds. Loading a model may hold the answer back.
 const ORDER_TIMEOUT_MS: u64 = 30_000;
@@ -154,14 +154,13 @@
         Ok(PlainResponse { status, content_type, body })
     }
 
-    /// Cancels, pauses or resumes the generation `id`. An unknown id is no failure, because the generation may just
-    /// have ended.
-    pub(crate) async fn control(&self, action: &str, id: &str) {
-        let conn = self.pooled.post(self.url(&format!("/{action}/{id}")));
-        match with_timeout(text(conn), CONTROL_TIMEOUT_MS).await {
+    /// Cancels the generation `id`. An unknown id is no failure, because the generation may just have ended.
+    pub(crate) async fn cancel(&self, id: &str) {
+        let conn = self.pooled.post(self.url(&format!("/cancel/{id}")));
+        match with_timeout(text(conn), CANCEL_TIMEOUT_MS).await {
             // A server that cannot be reached is reported once, by its probe.
             Ok(_) | Err(BackendFailure::Refused(404) | BackendFailure::NotSent) => {}
-            Err(error) => log::warn!("agent: {action} of {id} failed: {error}"),
+            Err(error) => log::warn!("agent: cancel of {id} failed: {error}"),
         }
     }
 
--- a/crates/fuchsiabay-agent/src/stream.rs
+++ b/crates/fuchsiabay-agent/src/stream.rs
@@ -2,6 +2,7 @@
 
 use std::{future::Future, pin::pin, sync::Arc};
 
+use fuchsiabay_base::Verdict;
 use fuchsiabay_runtime::{monotonic_now, sleep_until, spawn};
 use fuchsiabay_wire::{AttemptError, Tokens, Work};
 use futures_lite::{AsyncRead, future};
@@ -23,11 +24,11 @@
 
 /// Runs the generation to its end.
 pub(crate) async fn run<C: ConfigView>(agent: &Arc<Agent<C>>, attempt: &Arc<Attempt>) {
-    let ending = generate(agent, attempt).await;
-    let cost = match ending.verdict {
-        fuchsiabay_base::Verdict::NotRun => 0,
-        _ => attempt.cost(attempt.produced()),
+    let ending = match Generation::new(agent, attempt) {
+        Some(generation) if !attempt.is_cancelled() => generation.run_to_end().await,
+        _ => Ending::not_run(AttemptError::Cancelled),
     };
+    let cost = if ending.verdict == Verdict::NotRun { 0 } else { attempt.cost(attempt.produced()) };
     agent.finish(attempt.job, cost, ending);
 }
 
@@ -37,116 +38,204 @@
     Ready(T),
 }
 
-async fn generate<C: ConfigView>(agent: &Arc<Agent<C>>, attempt: &Arc<Attempt>) -> Ending {
-    let Work::Generate { prompt, max_tokens, resume_from, resume_text } = &attempt.req.work else {
-        return Ending::not_run(AttemptError::BackendError);
-    };
-    if attempt.is_cancelled() {
-        return Ending::not_run(AttemptError::Cancelled);
-    }
-    let id = agent.engine_id(attempt);
-    let call = GenerateCall {
-        id: &id,
-        prompt,
-        max_tokens: *max_tokens,
-        priority: attempt.req.priority as u8,
-        resume_from: *resume_from,
-        resume_text,
-    };
-    let mut stop = pin!(stopped(agent, attempt, &id));
-    let mut start = pin!(agent.backend.generate(&call));
-    let started = match first(stop.as_mut(), start.as_mut()).await {
-        Event::Ready(started) => started,
-        Event::Stop(Control::Lost) => return Ending::may_have_run(AttemptError::BackendLost, *resume_from),
-        Event::Stop(_) => {
-            let patience = async {
-                sleep_until(monotonic_now().plus_millis(START_WAIT_MS)).await;
-                Err(BackendFailure::Lost("no answer in time".to_owned()))
-            };
-            let _body = future::or(start, patience).await;
-            agent.backend.control("cancel", &id).await;
-            return Ending::may_have_run(AttemptError::Cancelled, *resume_from);
-        }
-    };
-    let body = match started {
-        Ok(body) => body,
-        Err(failure) => return failed(agent, &failure, *resume_from),
-    };
-    relay(agent, attempt, &id, stop, TokenStream::new(body, *resume_from)).await
+/// Why the engine no longer runs the generation.
+enum RunEnd {
+    Ended(Ending),
+    Paused,
 }
 
-async fn relay<C: ConfigView, R: AsyncRead + Unpin + Send + 'static>(
-    agent: &Arc<Agent<C>>,
-    attempt: &Arc<Attempt>,
-    id: &str,
-    mut stop: std::pin::Pin<&mut impl Future<Output = Control>>,
-    mut stream: TokenStream<R>,
-) -> Ending {
-    let mut reported = 0;
-    loop {
-        let position = stream.next_position();
-        let item = match first(stop.as_mut(), stream.next()).await {
-            Event::Ready(item) => item,
-            Event::Stop(control) => return stop_stream(agent, id, control, position).await,
+/// One generation and what was relayed of it.
+struct Generation<'a, C> {
+    agent: &'a Arc<Agent<C>>,
+    attempt: &'a Arc<Attempt>,
+    prompt: &'a str,
+    max_tokens: u32,
+    /// The position of the next token.
+    position: u32,
+    /// The text before that position, to resume with.
+    text: String,
+    /// How often the engine accepted it.
+    runs: u32,
+    /// The tokens that the scheduler has heard of.
+    reported: u32,
+}
+
+impl<'a, C: ConfigView> Generation<'a, C> {
+    fn new(agent: &'a Arc<Agent<C>>, attempt: &'a Arc<Attempt>) -> Option<Self> {
+        let Work::Generate { prompt, max_tokens, resume_from, resume_text } = &attempt.req.work else {
+            return None;
         };
-        let batch = match item {
-            StreamItem::Tokens(batch) => batch,
-            StreamItem::Done { total } => {
-                // Off the path of the end, because only the next request profits from it.
-                spawn(stream.finish()).detach();
-                return Ending::generated(total);
-            }
-            StreamItem::Truncated => {
-                agent.probe.wake();
-                cancel_in_background(agent, id);
-                return Ending::may_have_run(AttemptError::BackendLost, position);
+        Some(Self {
+            agent,
+            attempt,
+            prompt,
+            max_tokens: *max_tokens,
+            position: *resume_from,
+            text: resume_text.clone(),
+            runs: 0,
+            reported: 0,
+        })
+    }
+
+    /// Runs until the answer is complete or cannot be completed.
+    ///
+    /// A pause takes the stream off the engine and a later run resumes it, because a stream that is only paused at the
+    /// engine keeps its slot there, and the work that it was paused for would wait inside the engine.
+    async fn run_to_end(mut self) -> Ending {
+        loop {
+            match self.run_once().await {
+                RunEnd::Ended(ending) => return ending,
+                RunEnd::Paused => {
+                    if let Some(ending) = self.wait_for_resume().await {
+                        return ending;
+                    }
+                }
             }
-            StreamItem::Malformed(error) => {
-                log::warn!("agent: stream {id}: {error}");
-                cancel_in_background(agent, id);
-                return Ending::may_have_run(AttemptError::BackendError, position);
+        }
+    }
+
+    async fn run_once(&mut self) -> RunEnd {
+        let mut id = self.agent.engine_id(self.attempt);
+        if self.runs > 0 {
+            id = format!("{id}-{}", self.runs);
+        }
+        let body = {
+            let call = GenerateCall {
+                id: &id,
+                prompt: self.prompt,
+                max_tokens: self.max_tokens,
+                priority: self.attempt.req.priority as u8,
+                resume_from: self.position,
+                resume_text: &self.text,
+            };
+            let mut start = pin!(self.agent.backend.generate(&call));
+            match first(stopped(self.attempt), start.as_mut()).await {
+                Event::Ready(Ok(body)) => body,
+                Event::Ready(Err(failure)) => return RunEnd::Ended(self.failed(&failure)),
+                Event::Stop(Control::Lost) => return self.halt(&id, Control::Lost).await,
+                Event::Stop(control) => {
+                    let patience = async {
+                        sleep_until(monotonic_now().plus_millis(START_WAIT_MS)).await;
+                        Err(BackendFailure::Lost("no answer in time".to_owned()))
+                    };
+                    let _body = future::or(start, patience).await;
+                    self.runs += 1;
+                    return self.halt(&id, control).await;
+                }
             }
         };
-        let produced = attempt.produced() + u32::from(batch.count);
-        attempt.set_produced(produced);
-        agent.meters.frame(batch.count);
-        let position = stream.next_position();
-        let tokens =
-            Tokens { attempt: attempt.id(), first: batch.first, count: batch.count, text: batch.text };
-        match first(stop.as_mut(), attempt.session.peer.send_tokens(tokens)).await {
-            Event::Ready(Ok(())) => {}
-            // Nobody reads the stream any more.
-            Event::Ready(Err(_)) => return stop_stream(agent, id, Control::Cancel, position).await,
-            Event::Stop(control) => return stop_stream(agent, id, control, position).await,
+        self.runs += 1;
+        self.relay(&id, TokenStream::new(body, self.position)).await
+    }
+
+    async fn relay<R>(&mut self, id: &str, mut stream: TokenStream<R>) -> RunEnd
+    where
+        R: AsyncRead + Unpin + Send + 'static,
+    {
+        let attempt = self.attempt;
+        let mut stop = pin!(stopped(attempt));
+        loop {
+            let item = match first(stop.as_mut(), stream.next()).await {
+                Event::Ready(item) => item,
+                Event::Stop(control) => return self.halt(id, control).await,
+            };
+            let batch = match item {
+                StreamItem::Tokens(batch) => batch,
+                StreamItem::Done { total } => {
+                    // Off the path of the end, because only the next request profits from it.
+                    spawn(stream.finish()).detach();
+                    return RunEnd::Ended(Ending::generated(total));
+                }
+                StreamItem::Truncated => {
+                    self.agent.probe.wake();
+                    cancel_in_background(self.agent, id);
+                    return self.broken(AttemptError::BackendLost);
+                }
+                StreamItem::Malformed(error) => {
+                    log::warn!("agent: stream {id}: {error}");
+                    cancel_in_background(self.agent, id);
+                    return self.broken(AttemptError::BackendError);
+                }
+            };
+            let (first_position, count) = (batch.first, batch.count);
+            let text_len = self.text.len();
+            self.text.push_str(&String::from_utf8_lossy(&batch.text));
+            let tokens = Tokens { attempt: attempt.id(), first: first_position, count, text: batch.text };
+            let stopped = match first(stop.as_mut(), attempt.session.peer.send_tokens(tokens)).await {
+                Event::Ready(Ok(())) => None,
+                // Nobody reads the stream any more.
+                Event::Ready(Err(_)) => Some(Control::Cancel),
+                Event::Stop(control) => Some(control),
+            };
+            if let Some(control) = stopped {
+                // The frame was not sent, so a resumed stream produces it again.
+                self.text.truncate(text_len);
+                return self.halt(id, control).await;
+            }
+            self.position = stream.next_position();
+            self.count(count);
         }
-        if produced - reported >= PROGRESS_TOKENS {
-            reported = produced;
-            let cost = attempt.cost(produced);
-            agent.schedule(|scheduler, now| scheduler.progress(now, attempt.job, cost));
+    }
+
+    /// Counts tokens that were sent.
+    fn count(&mut self, count: u16) {
+        let produced = self.attempt.produced() + u32::from(count);
+        self.attempt.set_produced(produced);
+        self.agent.meters.frame(count);
+        if produced - self.reported < PROGRESS_TOKENS {
+            return;
         }
+        self.reported = produced;
+        let cost = self.attempt.cost(produced);
+        self.agent.schedule(|scheduler, now| scheduler.progress(now, self.attempt.job, cost));
     }
-}
 
-async fn stop_stream<C: ConfigView>(
-    agent: &Arc<Agent<C>>,
-    id: &str,
-    control: Control,
-    position: u32,
-) -> Ending {
-    if control == Control::Lost {
-        // An engine that only failed its probes may still run the stream.
-        cancel_in_background(agent, id);
-        return Ending::may_have_run(AttemptError::BackendLost, position);
+    /// Takes the stream off the engine.
+    async fn halt(&self, id: &str, control: Control) -> RunEnd {
+        if control == Control::Lost {
+            // An engine that only failed its probes may still run the stream.
+            cancel_in_background(self.agent, id);
+            return self.broken(AttemptError::BackendLost);
+        }
+        // The slot is free only when the engine has dropped the stream.
+        self.agent.backend.cancel(id).await;
+        if control == Control::Pause { RunEnd::Paused } else { self.broken(AttemptError::Cancelled) }
+    }
+
+    /// Waits for the end of a pause. Returns an ending if the attempt ends before.
+    async fn wait_for_resume(&self) -> Option<Ending> {
+        loop {
+            match self.attempt.orders.recv().await {
+                Ok(Control::Resume) => return None,
+                Ok(Control::Pause) => {}
+                Ok(Control::Lost) => {
+                    return Some(Ending::may_have_run(AttemptError::BackendLost, self.position));
+                }
+                Ok(Control::Cancel) | Err(_) => {
+                    return Some(Ending::may_have_run(AttemptError::Cancelled, self.position));
+                }
+            }
+        }
+    }
+
+    fn broken(&self, error: AttemptError) -> RunEnd {
+        RunEnd::Ended(Ending::may_have_run(error, self.position))
+    }
+
+    /// Maps the failure of a request that got no stream. A stream that cannot be resumed has run in part.
+    fn failed(&self, failure: &BackendFailure) -> Ending {
+        let ending = failed(self.agent, failure, self.position);
+        if self.runs == 0 {
+            return ending;
+        }
+        Ending { verdict: ending.verdict.max(Verdict::MayHaveRun), total_tokens: self.position, ..ending }
     }
-    // The slot is free only when the engine has dropped the stream.
-    agent.backend.control("cancel", id).await;
-    Ending::may_have_run(AttemptError::Cancelled, position)
 }
 
 /// The engine may still run a stream whose connection broke.
 fn cancel_in_background<C: ConfigView>(agent: &Arc<Agent<C>>, id: &str) {
     let (backend, id) = (agent.backend.clone(), id.to_owned());
-    spawn(async move { backend.control("cancel", &id).await }).detach();
+    spawn(async move { backend.cancel(&id).await }).detach();
 }
 
 /// Maps the failure of a request that got no stream.
@@ -168,13 +257,13 @@
     }
 }
 
-/// Carries out pauses until the attempt is to stop.
-async fn stopped<C: ConfigView>(agent: &Agent<C>, attempt: &Attempt, id: &str) -> Control {
+/// Waits until the attempt is to leave the engine.
+async fn stopped(attempt: &Attempt) -> Control {
     loop {
         match attempt.orders.recv().await {
-            Ok(Control::Pause) => agent.backend.control("pause", id).await,
-            Ok(Control::Resume) => agent.backend.control("resume", id).await,
-            Ok(stop) => return stop,
+            // The stream runs.
+            Ok(Control::Resume) => {}
+            Ok(control) => return control,
             Err(_) => future::pending().await,
         }
     }
--- a/crates/fuchsiabay-agent/tests/streams.rs
+++ b/crates/fuchsiabay-agent/tests/streams.rs
@@ -142,6 +142,27 @@
     });
 }
 
+// Guards against short work that waits until a long stream has ended, and against a long stream that loses or repeats
+// tokens when it makes room.
+#[test]
+fn long_stream_makes_room_and_resumes() {
+    smol::block_on(async {
+        let (engine, harness) = start().await;
+        let long = || SubmitRequest { estimated_tokens: 2_000, ..generate("hold") };
+        let running = [admitted(&harness, &long()).await, admitted(&harness, &long()).await];
+        until(|| engine.held() == 2).await;
+        let (_, end) = harness.run(&generate("whole")).await;
+        assert_eq!(said(&end), (Verdict::Ran, None, 3));
+        until(|| engine.prompts().len() == 4 && engine.held() == 2).await;
+        assert_eq!(engine.cancelled(), 1);
+        engine.complete();
+        for stream in &running {
+            let (text, end) = drain(stream).await;
+            assert_eq!((text.as_slice(), said(&end)), (b"az".as_slice(), (Verdict::Ran, None, 2)));
+        }
+    });
+}
+
 // Guards against an engine that misses orders, or gets them under another token than their offset in the log.
 #[test]
 fn orders_come_from_the_log() {
--- a/crates/fuchsiabay-agent/tests/support/fakes.rs
+++ b/crates/fuchsiabay-agent/tests/support/fakes.rs
@@ -97,7 +97,11 @@
         let send = |text: &str| tx.try_send(text.as_bytes().to_vec()).unwrap();
         let prompt = req["prompt"].as_str().unwrap();
         self.prompts.lock().push(prompt.to_owned());
-        send("data: {\"pos\":0,\"text\":\"a\"}\n\n");
+        if req["resume_from"] == 0 {
+            send("data: {\"pos\":0,\"text\":\"a\"}\n\n");
+        } else {
+            assert_eq!((&req["resume_from"], &req["resume_text"]), (&json!(1), &json!("a")));
+        }
         match prompt {
             "whole" => send(
                 "data: {\"pos\":1,\"text\":\"\\u00e9\"}\n\ndata: {\"pos\":2,\"text\":\"c\"}\n\ndata: {\"done\":true,\"total\":3}\n\n",
