Attribute a crash only to what ran on the backend server

Paused work is off the backend server, but a crash made it suspect, and a suspect waited for it. Paused work is now handed back after a crash, so that another server resumes it, and a suspect runs as soon as nothing holds a slot.

--- a/crates/fuchsiabay-admission/src/scheduler/commands.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/commands.rs
@@ -127,18 +127,23 @@
         self.drop_all(DropReason::Draining);
     }
 
-    /// Records a crash of the backend server: everything in flight may have run and is suspected, and waiting
-    /// work is handed back.
+    /// Records a crash of the backend server: everything that ran there is suspected, and waiting and paused work
+    /// is handed back.
     pub fn backend_crashed(&mut self) -> Vec<Suspect> {
         self.backend_down();
-        let running = std::mem::take(&mut self.running);
-        for job in running.values() {
+        let mut suspects = Vec::new();
+        for (id, job) in std::mem::take(&mut self.running) {
             if let Some(workspace) = self.workspaces.get_mut(&job.workspace) {
                 workspace.running = workspace.running.saturating_sub(1);
             }
+            if job.paused_at.is_some() {
+                self.commands.push_back(Command::HandBack(id));
+                continue;
+            }
+            suspects.push(Suspect { id, fingerprint: job.fingerprint });
         }
         self.forget_idle();
-        running.into_iter().map(|(id, job)| Suspect { id, fingerprint: job.fingerprint }).collect()
+        suspects
     }
 
     /// Refuses new work and hands waiting work back until [`Scheduler::backend_up`]. Jobs in flight stay.
--- a/crates/fuchsiabay-admission/src/scheduler/dispatch.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/dispatch.rs
@@ -36,18 +36,19 @@
         if self.down || self.active() >= self.limits.slots || self.solo_runs() {
             return None;
         }
-        let paused = self.oldest_paused();
         if let Some(solo) = self.solos.front().filter(|_| !self.owes_a_turn()) {
-            if self.running.is_empty() {
+            // Paused jobs are not on the backend server.
+            if self.active() == 0 {
                 return Some(Next::Solo);
             }
             // A suspected job stops further starts once it aged, or a busy backend server would never run it, and
             // while the wait for an empty backend server is short.
             let aged = solo.queued_at.plus_millis(self.limits.ageing_ms) <= now;
             if aged || self.empties_within(SOLO_DRAIN_MS) {
-                return paused.map(|(id, _)| Next::Paused(id));
+                return None;
             }
         }
+        let paused = self.oldest_paused();
         let short_waits = !self.short_arrivals.is_empty();
         let within_share = self.long_active() < self.limits.long_slots();
         if within_share && self.long_aged(now) {
@@ -96,10 +97,10 @@
         };
         invariant!(
             "solo-runs-alone",
-            self.running.is_empty(),
+            self.active() == 0,
             "{} starts beside {}",
             queued.job.id,
-            self.running.len()
+            self.active()
         );
         self.waiting.remove(&queued.job.id);
         self.deadlines.remove(&(queued.job.deadline, queued.job.id));
--- a/crates/fuchsiabay-admission/src/scheduler/mod.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/mod.rs
@@ -68,7 +68,7 @@
     paused_at: Option<Timestamp>,
 }
 
-/// A job that was in flight when the backend server crashed. It may have run and may be the cause.
+/// A job that ran when the backend server crashed. It may have run and may be the cause.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Suspect {
     /// The job.
--- a/crates/fuchsiabay-admission/src/scheduler/queries.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/queries.rs
@@ -122,7 +122,7 @@
     /// Returns whether `job` would get a slot now.
     pub(super) fn can_start_at_once(&self, job: &Job) -> bool {
         if job.solo {
-            return self.running.is_empty() && self.solos.is_empty();
+            return self.active() == 0 && self.solos.is_empty();
         }
         let class_waits = !self.arrivals(self.limits.class(job.estimated_tokens)).is_empty();
         !class_waits && self.solos.is_empty() && !self.solo_runs() && self.active() < self.limits.slots
@@ -136,10 +136,11 @@
         self.running.values().map(|job| self.remaining_ms(job)).min().unwrap_or(0)
     }
 
-    /// Returns whether everything in flight is predicted to end within `ms` milliseconds. Without a measured speed
+    /// Returns whether everything that holds a slot is predicted to end within `ms` milliseconds. Without a measured speed
     /// there is no prediction.
     pub(super) fn empties_within(&self, ms: u64) -> bool {
-        self.rate.tokens_per_ms().is_some() && self.running.values().all(|job| self.remaining_ms(job) <= ms)
+        self.rate.tokens_per_ms().is_some()
+            && self.running.values().all(|job| job.paused_at.is_some() || self.remaining_ms(job) <= ms)
     }
 
     /// Returns the jobs that hold a slot.
--- a/crates/fuchsiabay-admission/tests/scheduler.rs
+++ b/crates/fuchsiabay-admission/tests/scheduler.rs
@@ -188,6 +188,12 @@
         Expect(&[Command::Drop(JobId(3), DropReason::BackendDown)]),
         Refused(4, "a", RefusalCause::BackendDown), Up, Short(5, "a"), Expect(&[START_5]),
     ];
+    // Guards against a crash that is attributed to a job which was off the server at the time.
+    crash_hands_paused_work_back: Limits { pause_after_ms: Some(20), ..LIMITS }, [
+        Long(1, "a"), Long(2, "a"), Short(3, "b"), Expect(&[START_1, START_2]),
+        At(20), Expect(&[Command::Pause(JobId(2)), START_3]),
+        Crash(&[1, 3]), Expect(&[Command::HandBack(JobId(2))]),
+    ];
     // Guards against work that is lost or classified by old limits when a preset is switched.
     preset_switch_keeps_work: Limits { slots: 1, ..LIMITS }, [
         Short(1, "a"), Sized(2, "a", 50), Sized(3, "b", 20), Expect(&[START_1]),
@@ -269,6 +275,7 @@
             Command::Start(id) => open.contains(&id) && started.insert(id),
             Command::Drop(id, _) => open.remove(&id) && !started.contains(&id),
             Command::CancelRunning(id) | Command::Pause(id) | Command::Resume(id) => started.contains(&id),
+            Command::HandBack(id) => started.remove(&id) && open.remove(&id),
         };
         assert!(fits, "{command:?}");
     }
--- a/crates/fuchsiabay-agent/src/agent/commands.rs
+++ b/crates/fuchsiabay-agent/src/agent/commands.rs
@@ -219,6 +219,7 @@
             Command::CancelRunning(job) => self.tell(job, Control::Cancel),
             Command::Pause(job) => self.tell(job, Control::Pause),
             Command::Resume(job) => self.tell(job, Control::Resume),
+            Command::HandBack(job) => self.tell(job, Control::HandBack),
         }
     }
 
--- a/crates/fuchsiabay-agent/src/attempt.rs
+++ b/crates/fuchsiabay-agent/src/attempt.rs
@@ -22,6 +22,8 @@
     Cancel,
     Pause,
     Resume,
+    /// Another backend server is to resume the paused attempt.
+    HandBack,
     /// The backend server crashed.
     Lost,
 }
--- a/crates/fuchsiabay-agent/src/backend/client.rs
+++ b/crates/fuchsiabay-agent/src/backend/client.rs
@@ -1,6 +1,6 @@
 //! HTTP calls to the backend server.
 
-use std::{io::ErrorKind, str::FromStr};
+use std::{io::ErrorKind, str::FromStr, time::Duration};
 
 use fuchsiabay_base::{IdempotencyKey, Timestamp};
 use fuchsiabay_fencing::{EngineState, Order, OrderKind, SendOutcome};
@@ -18,6 +18,10 @@
 /// The largest answer to a control call.
 const MAX_CONTROL_BYTES: u64 = 1 << 20;
 
+/// How long an unused connection is kept. Servers close idle connections after some seconds, and a request on one that
+/// was just closed would look like a crash.
+const POOL_IDLE: Duration = Duration::from_secs(2);
+
 /// The time for a cancel call, in milliseconds.
 const CANCEL_TIMEOUT_MS: u64 = 2_000;
 
@@ -105,6 +109,7 @@
         let mut pooled = Client::new(ClientConfig::new().with_nodelay(true));
         // Larger bodies than a frame do not occur, so that no call waits for a permission to send its body.
         pooled.set_max_buffered_request_body(MAX_FRAME_BYTES * 2);
+        pooled.set_h1_idle_timeout(Some(POOL_IDLE));
         let fresh = pooled.clone().without_keepalive();
         Self { pooled, fresh, base: base.trim_end_matches('/').to_owned() }
     }
--- a/crates/fuchsiabay-agent/src/stream.rs
+++ b/crates/fuchsiabay-agent/src/stream.rs
@@ -199,23 +199,26 @@
         }
         // The slot is free only when the engine has dropped the stream.
         self.agent.backend.cancel(id).await;
-        if control == Control::Pause { RunEnd::Paused } else { self.broken(AttemptError::Cancelled) }
+        match control {
+            Control::Pause => RunEnd::Paused,
+            Control::HandBack => self.broken(AttemptError::Draining),
+            _ => self.broken(AttemptError::Cancelled),
+        }
     }
 
     /// Waits for the end of a pause. Returns an ending if the attempt ends before.
     async fn wait_for_resume(&self) -> Option<Ending> {
-        loop {
+        let error = loop {
             match self.attempt.orders.recv().await {
                 Ok(Control::Resume) => return None,
                 Ok(Control::Pause) => {}
-                Ok(Control::Lost) => {
-                    return Some(Ending::may_have_run(AttemptError::BackendLost, self.position));
-                }
-                Ok(Control::Cancel) | Err(_) => {
-                    return Some(Ending::may_have_run(AttemptError::Cancelled, self.position));
-                }
+                // The entry instance resumes it elsewhere, as after a drain, and suspects nothing.
+                Ok(Control::HandBack) => break AttemptError::Draining,
+                Ok(Control::Lost) => break AttemptError::BackendLost,
+                Ok(Control::Cancel) | Err(_) => break AttemptError::Cancelled,
             }
-        }
+        };
+        Some(Ending::may_have_run(error, self.position))
     }
 
     fn broken(&self, error: AttemptError) -> RunEnd {
