--- a/crates/fuchsiabay-bench/src/cli.rs
+++ b/crates/fuchsiabay-bench/src/cli.rs
@@ -5,8 +5,7 @@
 use bpaf::{OptionParser, Parser, construct, long, positional};
 
 use crate::{
-    Engine, EngineSettings, List, LoadSettings, Log, LogSettings, Server, Service, Target, Weights,
-    policy_report, run_load,
+    Engine, EngineSettings, List, LoadSettings, Log, LogSettings, Server, Service, Target, Weights, run_load,
 };
 
 #[derive(Clone, Debug)]
@@ -18,7 +17,6 @@
     Weights { listen: SocketAddr, bytes_per_second: u64, expert_len: usize },
     Load(LoadSettings),
     Call { method: String, url: String, body: Option<String> },
-    Policy { seed: u64 },
 }
 
 /// Runs the command that the arguments name.
@@ -52,10 +50,6 @@
         }
         Command::Load(settings) => load(settings).await,
         Command::Call { method, url, body } => call(&method, &url, body).await,
-        Command::Policy { seed } => {
-            println!("{}", policy_report(seed));
-            Ok(ExitCode::SUCCESS)
-        }
     }
 }
 
@@ -103,12 +97,7 @@
         .descr("Sends an open load and prints a report as JSON")
         .command("load");
     let call = call_options().to_options().descr("Sends one request and prints the response").command("call");
-    let seed = number("seed", "Determines arrivals and draws", 1);
-    let policy = construct!(Command::Policy { seed })
-        .to_options()
-        .descr("Measures the policies on virtual time")
-        .command("policy");
-    construct!([engine, service, log, list, weights, load, call, policy])
+    construct!([engine, service, log, list, weights, load, call])
         .to_options()
         .descr("Stand-ins of the platform and a load generator, for tests and measurements only")
 }
--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -11,7 +11,7 @@
     byte_meter::ByteMeter,
     cluster::{Cluster, Plan, Profile, read_to_end, strings},
     process::stop_all_on_interrupt,
-    steps::StepError,
+    steps::{StepError, cargo},
     usage::{cpu_time, load_average, resident_kb},
 };
 
@@ -32,15 +32,19 @@
     Path,
     /// The policies on virtual time.
     Policy,
+    /// The state and messages of each role.
+    Capacity,
 }
 
 /// Measures and prints the figures. Goals that are missed are printed like those that are met.
 pub(crate) fn run(subject: Subject, seed: u64, as_json: bool) -> Result<(), StepError> {
+    match subject {
+        Subject::Path => {}
+        Subject::Policy => return measure(&["--seed", &seed.to_string()], as_json),
+        Subject::Capacity => return measure(&["--capacity"], as_json),
+    }
     stop_all_on_interrupt().map_err(start_error("handle signals"))?;
-    let figures = match subject {
-        Subject::Path => path(seed)?,
-        Subject::Policy => policy(seed)?,
-    };
+    let figures = path(seed)?;
     if as_json {
         println!("{figures}");
         return Ok(());
@@ -60,9 +64,14 @@
     }
 }
 
-fn policy(seed: u64) -> Result<Value, StepError> {
-    let output = Cluster::run_bench(&strings(&["policy", "--seed", &seed.to_string()]))?;
-    parse(&output)
+/// Runs `fuchsiabay-measure`, which needs no other process.
+fn measure(args: &[&str], as_json: bool) -> Result<(), StepError> {
+    let mut all = vec!["run", "--locked", "--quiet", "--release", "--package", "fuchsiabay-measure", "--"];
+    all.extend_from_slice(args);
+    if as_json {
+        all.push("--json");
+    }
+    cargo(&all, &[])
 }
 
 fn path(seed: u64) -> Result<Value, StepError> {
--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -142,17 +142,6 @@
         Ok(meters)
     }
 
-    /// Builds the load generator and stand-ins alone, runs them with `args` and returns the output.
-    pub(crate) fn run_bench(args: &[String]) -> Result<String, StepError> {
-        let bin = build(Profile::Release, &["fuchsiabay-bench"])?;
-        let output = Command::new(bin.join("fuchsiabay-bench")).args(args).output();
-        let output = output.map_err(io_error("run `fuchsiabay-bench`"))?;
-        if !output.status.success() {
-            return Err(StepError::Failed("fuchsiabay-bench".into(), output.status));
-        }
-        Ok(String::from_utf8_lossy(&output.stdout).into_owned())
-    }
-
     /// Sets the faults of the log.
     pub(crate) fn set_log_faults(&self, faults: &Value) -> Result<(), StepError> {
         self.call("POST", &format!("{}/faults", self.log.url), Some(faults)).map(|_| ())
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -44,14 +44,18 @@
 }
 
 fn bench() -> impl Parser<Task> {
-    let subject = bpaf::long("path")
+    let path = bpaf::long("path")
         .help("Measure the request path of the real programs instead of the policies on virtual time")
-        .flag(bench::Subject::Path, bench::Subject::Policy);
+        .req_flag(bench::Subject::Path);
+    let capacity = bpaf::long("capacity")
+        .help("Measure the state and messages of each role as slopes")
+        .req_flag(bench::Subject::Capacity);
+    let subject = construct!([path, capacity]).fallback(bench::Subject::Policy);
     let json = bpaf::long("json").help("Print the figures as one line of JSON").switch();
     let seed = seed();
     construct!(Task::Bench { subject, seed, json })
         .to_options()
-        .descr("Measures the policies or the request path")
+        .descr("Measures the policies, the request path or the state of each role")
         .command("bench")
 }
 
