--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -11,8 +11,8 @@
     byte_meter::ByteMeter,
     cluster::{Cluster, Plan, Profile, read_to_end, strings},
     process::stop_all_on_interrupt,
-    steps::StepError,
-    usage::{cpu_time, resident_kb},
+    steps::{StepError, cargo},
+    usage::{cpu_time, load_average, resident_kb},
 };
 
 /// The goal for the latency that entry and agent add at p99, in microseconds.
@@ -32,15 +32,19 @@
     Path,
     /// The policies on virtual time.
     Policy,
+    /// The state and messages of each role.
+    Capacity,
 }
 
 /// Measures and prints the figures. Goals that are missed are printed like those that are met.
 pub(crate) fn run(subject: Subject, seed: u64, as_json: bool) -> Result<(), StepError> {
+    match subject {
+        Subject::Path => {}
+        Subject::Policy => return measure(&["--seed", &seed.to_string()], as_json),
+        Subject::Capacity => return measure(&["--capacity"], as_json),
+    }
     stop_all_on_interrupt().map_err(start_error("handle signals"))?;
-    let figures = match subject {
-        Subject::Path => path(seed)?,
-        Subject::Policy => policy(seed)?,
-    };
+    let figures = path(seed)?;
     if as_json {
         println!("{figures}");
         return Ok(());
@@ -60,14 +64,21 @@
     }
 }
 
-fn policy(seed: u64) -> Result<Value, StepError> {
-    let output = Cluster::run_bench(&strings(&["policy", "--seed", &seed.to_string()]))?;
-    parse(&output)
+/// Runs `fuchsiabay-measure`, which needs no other process.
+fn measure(args: &[&str], as_json: bool) -> Result<(), StepError> {
+    let mut all = vec!["run", "--locked", "--quiet", "--release", "--package", "fuchsiabay-measure", "--"];
+    all.extend_from_slice(args);
+    if as_json {
+        all.push("--json");
+    }
+    cargo(&all, &[])
 }
 
 fn path(seed: u64) -> Result<Value, StepError> {
+    let cores = thread::available_parallelism().map_err(start_error("count the cores"))?;
     Ok(json!({
         "seed": seed,
+        "cores": cores.get(),
         "latency": latency(seed)?,
         "throughput": throughput(seed)?,
         "memory": memory(seed)?,
@@ -116,6 +127,7 @@
     let worst = added("look_up", "p99_us").max(added("first_token", "p99_us"));
     Ok(json!({
         "requests_per_second": 200,
+        "load_average": load_average().map_err(start_error("read the load average"))?,
         "answered": through["answered"],
         "sent": through["sent"],
         "failures": through["failure_counts"],
@@ -162,6 +174,7 @@
     let tokens = report["tokens"].as_f64().unwrap_or_default();
     let per_core = tokens / (after.0 - before.0).as_secs_f64();
     Ok(json!({
+        "load_average": load_average().map_err(start_error("read the load average"))?,
         "sent": report["sent"],
         "answered": report["answered"],
         "failures": report["failure_counts"],
