Run crashing requests on virtual time

Two entries with real request machines and quarantines share eight servers that some requests crash, while callers send those requests again and the log is down or cut off. The checker counts the crashes of each request at the servers and demands that every harmless request is served. Two switches for these runs are new in the routing crate.

The bound of 10 crashes is for three callers of one request and two entries that cannot reach the log; a first bound of 7 was wrong, because a caller's attempt that is under way when the last report comes crashes its server, too.

--- a/crates/fuchsiabay-prove/src/lib.rs
+++ b/crates/fuchsiabay-prove/src/lib.rs
@@ -14,6 +14,8 @@
 mod config_model;
 mod config_script;
 mod config_world;
+mod crash_script;
+mod crash_world;
 mod fake_log;
 mod map_script;
 mod map_world;
--- a/crates/fuchsiabay-prove/src/mechanism.rs
+++ b/crates/fuchsiabay-prove/src/mechanism.rs
@@ -60,6 +60,8 @@
         "off: a reader that cannot be asked does not end the outage mode",
         Promise::Config,
     ),
+    mechanism("suspects-alone", "off: a suspect runs beside other requests", Promise::CrashContainment),
+    mechanism("quarantine", "off: no request is refused for its crashes", Promise::CrashContainment),
     mechanism("hold-step", "off: a rank passes the hold step before the decision", Promise::ExpertMap),
     mechanism("unanimous-votes", "off: one vote decides a switch", Promise::ExpertMap),
     mechanism("total-tokens", "off: the end of an attempt ends the answer", Promise::WholeAnswer),
--- a/crates/fuchsiabay-prove/src/promise.rs
+++ b/crates/fuchsiabay-prove/src/promise.rs
@@ -14,6 +14,8 @@
     NotRunIsTrue,
     /// An accepted configuration is in force everywhere within 6 s and never reverts.
     Config,
+    /// A request that crashes its servers is refused, and harmless ones are served.
+    CrashContainment,
     /// All ranks of a group use the same expert map in every step.
     ExpertMap,
     /// A caller receives its own answer, and an incomplete one never passes as complete.
@@ -22,8 +24,14 @@
 
 impl Promise {
     /// Every promise, in the order of a run.
-    pub const ALL: &[Self] =
-        &[Self::AtMostOnce, Self::NotRunIsTrue, Self::Config, Self::ExpertMap, Self::WholeAnswer];
+    pub const ALL: &[Self] = &[
+        Self::AtMostOnce,
+        Self::NotRunIsTrue,
+        Self::Config,
+        Self::CrashContainment,
+        Self::ExpertMap,
+        Self::WholeAnswer,
+    ];
 
     /// Returns the name on the command line.
     pub const fn name(self) -> &'static str {
@@ -31,6 +39,7 @@
             Self::AtMostOnce => "at-most-once",
             Self::NotRunIsTrue => "not-run-is-true",
             Self::Config => "config",
+            Self::CrashContainment => "crash-containment",
             Self::ExpertMap => "expert-map",
             Self::WholeAnswer => "whole-answer",
         }
@@ -46,6 +55,9 @@
             Self::Config => {
                 "an accepted configuration is in force everywhere within 6 s and never reverts, with one preset"
             }
+            Self::CrashContainment => {
+                "a request that crashes its servers is refused everywhere, and harmless ones are served"
+            }
             Self::ExpertMap => "all ranks of a group use the same expert map in every step",
             Self::WholeAnswer => {
                 "a caller receives the complete answer to its own request, or a visibly incomplete one"
--- a/crates/fuchsiabay-prove/src/script.rs
+++ b/crates/fuchsiabay-prove/src/script.rs
@@ -4,8 +4,9 @@
 
 use crate::{
     Outcome, Promise, Step, claims_script::ClaimAction, claims_world::ClaimsWorld,
-    config_script::ConfigAction, config_world::ConfigWorld, map_script::MapAction, map_world::MapWorld,
-    stream_script::StreamAction, stream_world::StreamWorld,
+    config_script::ConfigAction, config_world::ConfigWorld, crash_script::CrashAction,
+    crash_world::CrashWorld, map_script::MapAction, map_world::MapWorld, stream_script::StreamAction,
+    stream_world::StreamWorld,
 };
 
 /// The actions of a case: the part of a trace that can be read and shortened.
@@ -17,6 +18,8 @@
     Claims(Vec<Step<ClaimAction>>),
     /// Publishes and preset switches against twelve processes.
     Config(Vec<Step<ConfigAction>>),
+    /// Requests that crash the servers of two entry instances.
+    Crashes(Vec<Step<CrashAction>>),
     /// Map switches of a group of four ranks.
     Maps(Vec<Step<MapAction>>),
     /// Streamed answers of four backend servers.
@@ -29,6 +32,7 @@
         match promise {
             Promise::AtMostOnce | Promise::NotRunIsTrue => Self::Claims(ClaimAction::script(rng)),
             Promise::Config => Self::Config(ConfigAction::script(rng)),
+            Promise::CrashContainment => Self::Crashes(CrashAction::script(rng)),
             Promise::ExpertMap => Self::Maps(MapAction::script(rng)),
             Promise::WholeAnswer => Self::Streams(StreamAction::script(rng)),
         }
@@ -39,6 +43,7 @@
         match self {
             Self::Claims(steps) => ClaimsWorld::run(steps, promise, seed),
             Self::Config(steps) => ConfigWorld::run(steps, seed),
+            Self::Crashes(steps) => CrashWorld::run(steps, seed),
             Self::Maps(steps) => MapWorld::run(steps, seed),
             Self::Streams(steps) => StreamWorld::run(steps, seed),
         }
@@ -49,6 +54,7 @@
         match self {
             Self::Claims(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
             Self::Config(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
+            Self::Crashes(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
             Self::Maps(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
             Self::Streams(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
         }
@@ -59,6 +65,7 @@
         match self {
             Self::Claims(steps) => steps.len(),
             Self::Config(steps) => steps.len(),
+            Self::Crashes(steps) => steps.len(),
             Self::Maps(steps) => steps.len(),
             Self::Streams(steps) => steps.len(),
         }
@@ -70,6 +77,7 @@
         match &mut script {
             Self::Claims(steps) => drop(steps.remove(i)),
             Self::Config(steps) => drop(steps.remove(i)),
+            Self::Crashes(steps) => drop(steps.remove(i)),
             Self::Maps(steps) => drop(steps.remove(i)),
             Self::Streams(steps) => drop(steps.remove(i)),
         }
--- a/crates/fuchsiabay-prove/tests/runs.rs
+++ b/crates/fuchsiabay-prove/tests/runs.rs
@@ -24,6 +24,7 @@
     at_most_once: "at-most-once";
     not_run_is_true: "not-run-is-true";
     config: "config";
+    crash_containment: "crash-containment";
     expert_map: "expert-map";
     whole_answer: "whole-answer";
 }
--- a/crates/fuchsiabay-routing/src/quarantine.rs
+++ b/crates/fuchsiabay-routing/src/quarantine.rs
@@ -5,7 +5,7 @@
     hash::{BuildHasher, BuildHasherDefault, DefaultHasher},
 };
 
-use fuchsiabay_base::{Fingerprint, Timestamp, WriterId};
+use fuchsiabay_base::{Fingerprint, Timestamp, WriterId, mechanism};
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
@@ -92,8 +92,8 @@
         // The quarantine ends when fewer than `crashes` reports are left.
         let needed = (crashes.max(1)) as usize;
         match ends.len().checked_sub(needed) {
-            Some(i) => Standing::Refused { until: ends[i] },
-            None => Standing::Suspect,
+            Some(i) if mechanism("quarantine") => Standing::Refused { until: ends[i] },
+            _ => Standing::Suspect,
         }
     }
 
--- a/crates/fuchsiabay-routing/src/request_machine.rs
+++ b/crates/fuchsiabay-routing/src/request_machine.rs
@@ -433,7 +433,7 @@
             attempt: id,
             target: target.clone(),
             resume_from: self.transcript.position(),
-            solo: self.suspect,
+            solo: self.suspect && mechanism("suspects-alone"),
         });
         self.state = State::Attempting(Attempt { id, target, solo: self.suspect });
     }
