--- a/crates/fuchsiabay-agent/src/orders.rs
+++ b/crates/fuchsiabay-agent/src/orders.rs
@@ -12,8 +12,9 @@
 
 use crate::{Agent, ConfigView, agent::Wake};
 
-/// The interval of reads, in milliseconds. Orders take minutes to carry out, so a second matters little.
-const POLL_MS: u64 = 1_000;
+/// The interval of reads, in milliseconds. Orders take minutes to carry out, so seconds matter little, and 600 agents
+/// that read every second would be most of the reads of the log.
+const POLL_MS: u64 = 5_000;
 
 /// The time that the log has for a read, in milliseconds.
 const READ_TIMEOUT_MS: u64 = 2_000;
--- a/crates/fuchsiabay-entry/src/quarantine_log.rs
+++ b/crates/fuchsiabay-entry/src/quarantine_log.rs
@@ -12,7 +12,7 @@
 /// The stream that carries the quarantine.
 const STREAM: &str = "quarantine";
 /// The interval of reads, in milliseconds. A crashing request needs a second server before it is refused anyway.
-const POLL_MS: u64 = 500;
+const POLL_MS: u64 = 1_000;
 /// The time that the log has to answer, in milliseconds.
 const LOG_TIMEOUT_MS: u64 = 2_000;
 /// Records of one read or append.
