Report a crash's suspects and handed back jobs in one value

A command for handed back jobs would reach callers of the scheduler that never report a crash. The crash itself now returns the jobs that ran and the paused ones.

--- a/crates/fuchsiabay-admission/src/command.rs
+++ b/crates/fuchsiabay-admission/src/command.rs
@@ -17,8 +17,6 @@
     Pause(JobId),
     /// Runs the paused job again from where it was.
     Resume(JobId),
-    /// Ends the paused job, so that another backend server resumes it. This one is down and did not run it.
-    HandBack(JobId),
 }
 
 /// Why a queued job was dropped.
--- a/crates/fuchsiabay-admission/src/lib.rs
+++ b/crates/fuchsiabay-admission/src/lib.rs
@@ -18,5 +18,5 @@
 pub use job::{Class, Job, JobId};
 pub use limits::Limits;
 pub use refusal::{Refusal, RefusalCause};
-pub use scheduler::{CancelOutcome, Scheduler, Suspect};
+pub use scheduler::{CancelOutcome, Crash, Scheduler, Suspect};
 pub use snapshot::{Load, Snapshot, WorkspaceSnapshot};
--- a/crates/fuchsiabay-admission/src/scheduler/commands.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/commands.rs
@@ -2,7 +2,7 @@
 
 use fuchsiabay_base::{Timestamp, invariant};
 
-use super::{CancelOutcome, Scheduler, Suspect, Waiting};
+use super::{CancelOutcome, Crash, Scheduler, Suspect, Waiting};
 use crate::{Command, DropReason, Job, JobId, Limits, Refusal, RefusalCause, workspace_queue::Queued};
 
 /// The part of the queue, in percent, that only workspaces below their fair share may fill. Without it, one
@@ -129,21 +129,20 @@
 
     /// Records a crash of the backend server: everything that ran there is suspected, and waiting and paused work
     /// is handed back.
-    pub fn backend_crashed(&mut self) -> Vec<Suspect> {
+    pub fn backend_crashed(&mut self) -> Crash {
         self.backend_down();
-        let mut suspects = Vec::new();
+        let mut crash = Crash::default();
         for (id, job) in std::mem::take(&mut self.running) {
             if let Some(workspace) = self.workspaces.get_mut(&job.workspace) {
                 workspace.running = workspace.running.saturating_sub(1);
             }
-            if job.paused_at.is_some() {
-                self.commands.push_back(Command::HandBack(id));
-                continue;
+            match job.paused_at {
+                Some(_) => crash.handed_back.push(id),
+                None => crash.suspects.push(Suspect { id, fingerprint: job.fingerprint }),
             }
-            suspects.push(Suspect { id, fingerprint: job.fingerprint });
         }
         self.forget_idle();
-        suspects
+        crash
     }
 
     /// Refuses new work and hands waiting work back until [`Scheduler::backend_up`]. Jobs in flight stay.
--- a/crates/fuchsiabay-admission/src/scheduler/mod.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/mod.rs
@@ -68,6 +68,15 @@
     paused_at: Option<Timestamp>,
 }
 
+/// What a crash of the backend server ended.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Crash {
+    /// The jobs that ran.
+    pub suspects: Vec<Suspect>,
+    /// The paused jobs, which another backend server is to resume.
+    pub handed_back: Vec<JobId>,
+}
+
 /// A job that ran when the backend server crashed. It may have run and may be the cause.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Suspect {
--- a/crates/fuchsiabay-admission/tests/scheduler.rs
+++ b/crates/fuchsiabay-admission/tests/scheduler.rs
@@ -48,7 +48,7 @@
     At(u64),
     Limits(Limits),
     Drain,
-    Crash(&'static [u64]),
+    Crash(&'static [u64], &'static [u64]),
     Up,
     Expect(&'static [Command]),
 }
@@ -80,10 +80,10 @@
             }
             Limits(limits) => scheduler.apply_limits(now, *limits),
             Drain => scheduler.drain(),
-            Crash(ids) => {
-                let suspects: Vec<_> =
-                    scheduler.backend_crashed().iter().map(|suspect| suspect.id.0).collect();
-                assert_eq!(suspects, *ids);
+            Crash(suspects, handed_back) => {
+                let crash = scheduler.backend_crashed();
+                assert_eq!(crash.suspects.iter().map(|suspect| suspect.id.0).collect::<Vec<_>>(), *suspects);
+                assert_eq!(crash.handed_back.iter().map(|id| id.0).collect::<Vec<_>>(), *handed_back);
             }
             Up => scheduler.backend_up(now),
             Expect(commands) => {
@@ -184,7 +184,7 @@
     ];
     // Guards against a crash that is attributed to a job which never started.
     crash_suspects_what_ran: LIMITS, [
-        Short(1, "a"), Short(2, "a"), Short(3, "a"), Expect(&[START_1, START_2]), Crash(&[1, 2]),
+        Short(1, "a"), Short(2, "a"), Short(3, "a"), Expect(&[START_1, START_2]), Crash(&[1, 2], &[]),
         Expect(&[Command::Drop(JobId(3), DropReason::BackendDown)]),
         Refused(4, "a", RefusalCause::BackendDown), Up, Short(5, "a"), Expect(&[START_5]),
     ];
@@ -192,7 +192,7 @@
     crash_hands_paused_work_back: Limits { pause_after_ms: Some(20), ..LIMITS }, [
         Long(1, "a"), Long(2, "a"), Short(3, "b"), Expect(&[START_1, START_2]),
         At(20), Expect(&[Command::Pause(JobId(2)), START_3]),
-        Crash(&[1, 3]), Expect(&[Command::HandBack(JobId(2))]),
+        Crash(&[1, 3], &[2]),
     ];
     // Guards against work that is lost or classified by old limits when a preset is switched.
     preset_switch_keeps_work: Limits { slots: 1, ..LIMITS }, [
@@ -275,7 +275,6 @@
             Command::Start(id) => open.contains(&id) && started.insert(id),
             Command::Drop(id, _) => open.remove(&id) && !started.contains(&id),
             Command::CancelRunning(id) | Command::Pause(id) | Command::Resume(id) => started.contains(&id),
-            Command::HandBack(id) => started.remove(&id) && open.remove(&id),
         };
         assert!(fits, "{command:?}");
     }
@@ -327,8 +326,10 @@
                     scheduler.apply_limits(now, Limits { slots, long_work_tokens, ..*scheduler.limits() });
                 }
                 (22, _) => {
-                    for suspect in scheduler.backend_crashed() {
-                        assert!(started.remove(&suspect.id) && open.remove(&suspect.id), "seed {seed}");
+                    let crash = scheduler.backend_crashed();
+                    let suspects = crash.suspects.iter().map(|suspect| suspect.id);
+                    for id in suspects.chain(crash.handed_back) {
+                        assert!(started.remove(&id) && open.remove(&id), "seed {seed}");
                     }
                 }
                 _ => scheduler.backend_up(now),
--- a/crates/fuchsiabay-agent/src/agent/commands.rs
+++ b/crates/fuchsiabay-agent/src/agent/commands.rs
@@ -153,11 +153,14 @@
         self.schedule(|scheduler, now| scheduler.backend_up(now));
     }
 
-    /// Attributes a crash of the backend server to everything in flight.
+    /// Attributes a crash of the backend server to everything that ran there.
     pub(crate) fn backend_crashed(self: &Arc<Self>) {
-        let suspects = self.schedule(|scheduler, _| scheduler.backend_crashed());
-        self.meters.crashed(suspects.len());
-        for suspect in suspects {
+        let crash = self.schedule(|scheduler, _| scheduler.backend_crashed());
+        self.meters.crashed(crash.suspects.len());
+        for job in crash.handed_back {
+            self.tell(job, Control::HandBack);
+        }
+        for suspect in crash.suspects {
             log::warn!(
                 "agent: request {} was in flight when the backend server went down",
                 suspect.fingerprint
@@ -219,7 +222,6 @@
             Command::CancelRunning(job) => self.tell(job, Control::Cancel),
             Command::Pause(job) => self.tell(job, Control::Pause),
             Command::Resume(job) => self.tell(job, Control::Resume),
-            Command::HandBack(job) => self.tell(job, Control::HandBack),
         }
     }
 
