Give up connections whose agent does not answer

A partition or a stalled instance closes no connection, so the streams on it waited for their callers' deadlines. A connection without three load reports in a row is closed, and its streams resume elsewhere. The end of an older connection to the same agent no longer takes the newer one out of the choice.

--- a/crates/fuchsiabay-entry/src/membership.rs
+++ b/crates/fuchsiabay-entry/src/membership.rs
@@ -32,8 +32,10 @@
 /// What all load polls may cost, in bytes per second. A node may spend 27 KB/s on control.
 const LOAD_BYTES_PER_SECOND: u64 = 10_000;
 /// The time that an agent has to report its load, in milliseconds.
-const LOAD_TIMEOUT_MS: u64 = 2_000;
-
+const LOAD_TIMEOUT_MS: u64 = 1_000;
+/// A connection without so many reports in a row is closed. A partition or a stalled instance closes nothing by itself,
+/// and the streams on such a connection would wait for their deadlines instead of moving.
+const UNANSWERED_POLLS_BEFORE_CLOSE: u32 = 3;
 /// A connection that is no longer needed stays open for this many polls, for a request that picked it just before.
 const IDLE_POLLS_BEFORE_CLOSE: u32 = 4;
 
@@ -43,6 +45,7 @@
     agents: Mutex<HashMap<InstanceId, Agent>>,
     /// The present interval of load polls, in milliseconds.
     load_poll_ms: AtomicU64,
+    load_timeout_ms: u64,
 }
 
 /// A live agent of the list.
@@ -59,7 +62,13 @@
 
 impl<C: ConfigSource> Membership<C> {
     pub(crate) fn new(entry: Arc<Entry<C>>) -> Arc<Self> {
-        Arc::new(Self { entry, agents: Mutex::default(), load_poll_ms: AtomicU64::new(LOAD_POLL_MS) })
+        Self::with_load_timeout(entry, LOAD_TIMEOUT_MS)
+    }
+
+    /// Gives agents another time to report their load.
+    pub(crate) fn with_load_timeout(entry: Arc<Entry<C>>, load_timeout_ms: u64) -> Arc<Self> {
+        let load_poll_ms = AtomicU64::new(LOAD_POLL_MS);
+        Arc::new(Self { entry, agents: Mutex::default(), load_poll_ms, load_timeout_ms })
     }
 
     /// Polls the instance list for ever. A list that fails leaves the last one in use.
@@ -142,22 +151,22 @@
             Ok(peer) => {
                 log::warn!("entry: {} answers at the address of {}", peer.hello().instance, instance.id);
                 peer.close();
-                return self.set_link(&instance, Link::Down);
+                return self.set_down(&instance, None);
             }
             Err(error) => {
                 log::debug!("entry: cannot connect to {}: {error}", instance.id);
-                return self.set_link(&instance, Link::Down);
+                return self.set_down(&instance, None);
             }
         };
         log::info!("entry: connected to {} generation {}", instance.id, peer.hello().generation);
-        self.set_link(&instance, Link::Up(peer.clone()));
+        self.set_up(&instance, &peer);
         let id = WriterId { instance: instance.id.clone(), generation: peer.hello().generation };
         if let Some(server) = self.server(&instance, &id) {
             self.watch(&server, &peer).await;
         }
         if peer.is_closed() {
             log::info!("entry: connection to {} closed", instance.id);
-            self.set_link(&instance, Link::Down);
+            self.set_down(&instance, Some(&peer));
             return self.dial_after_loss(&instance);
         }
         peer.close();
@@ -165,7 +174,7 @@
 
     /// Polls the load of `server` until its connection closes or it has left the list and its attempts have ended.
     async fn watch(&self, server: &Target, peer: &Peer) {
-        let mut idle_polls = 0;
+        let (mut idle_polls, mut unanswered) = (0, 0);
         while !peer.is_closed() {
             let poll_ms = self.load_poll_ms.load(Ordering::Relaxed);
             let next_poll = monotonic_now().plus_millis(poll_ms);
@@ -175,16 +184,35 @@
                 return;
             }
             if server.load().reported_at.plus_millis(poll_ms) <= monotonic_now() {
-                let deadline = monotonic_now().plus_millis(LOAD_TIMEOUT_MS);
-                if let Ok(report) = peer.call::<_, LoadReport>("load", &(), deadline).await {
-                    server.apply_report(report, monotonic_now());
-                }
+                let answered = self.poll_load(server, peer).await;
+                unanswered = if answered { 0 } else { unanswered + 1 };
+            }
+            if unanswered == UNANSWERED_POLLS_BEFORE_CLOSE {
+                log::warn!("entry: {} does not report its load; closing the connection", server.id());
+                peer.close();
             }
             futures_lite::future::or(peer.closed(), sleep_until(next_poll)).await;
         }
         server.set_connected(false);
     }
 
+    /// Asks for the load. Returns whether the agent answered.
+    ///
+    /// A single miss does not take the server out of the choice: after a pause of this process, the polls of all agents
+    /// are late at the same time.
+    async fn poll_load(&self, server: &Target, peer: &Peer) -> bool {
+        let asked_at = monotonic_now();
+        let deadline = asked_at.plus_millis(self.load_timeout_ms);
+        match peer.call::<_, LoadReport>("load", &(), deadline).await {
+            Ok(report) => {
+                server.apply_report(report, monotonic_now());
+                true
+            }
+            // Reports in replies show that the agent is alive, too.
+            Err(_) => server.load().reported_at > asked_at,
+        }
+    }
+
     /// An agent that restarts is back long before the next poll of the list.
     fn dial_after_loss(self: &Arc<Self>, instance: &Instance) {
         let membership = Arc::clone(self);
@@ -198,12 +226,30 @@
         .detach();
     }
 
-    fn set_link(&self, instance: &Instance, link: Link) {
+    fn set_up(&self, instance: &Instance, peer: &Peer) {
         let mut agents = self.agents.lock();
         if let Some(agent) = agents.get_mut(&instance.id)
             && agent.listed.peer == instance.peer
         {
-            agent.link = link;
+            agent.link = Link::Up(peer.clone());
+        }
+        self.publish(&agents);
+    }
+
+    /// Notes that `lost`, or the attempt to connect, came to an end. A newer connection stays.
+    fn set_down(&self, instance: &Instance, lost: Option<&Peer>) {
+        let mut agents = self.agents.lock();
+        if let Some(agent) = agents.get_mut(&instance.id)
+            && agent.listed.peer == instance.peer
+        {
+            let newer = match (&agent.link, lost) {
+                (Link::Up(up), Some(lost)) => up.hello().nonce != lost.hello().nonce,
+                (Link::Up(_), None) => true,
+                (Link::Down | Link::Dialing, _) => false,
+            };
+            if !newer {
+                agent.link = Link::Down;
+            }
         }
         self.publish(&agents);
     }
--- a/crates/fuchsiabay-entry/src/tests/fake_agent.rs
+++ b/crates/fuchsiabay-entry/src/tests/fake_agent.rs
@@ -46,6 +46,8 @@
     Crash,
     /// Admits and sends nothing.
     Hang,
+    /// Sends the answer up to the position and then neither sends nor answers anything.
+    StallAfter(u32),
     /// Sends one token after the other until it is cancelled.
     Endless,
 }
@@ -63,6 +65,7 @@
 pub(super) struct FakeAgent {
     identity: Identity,
     script: Arc<Script>,
+    stalled: AtomicBool,
 }
 
 struct Api {
@@ -81,7 +84,7 @@
         };
         let listener = PeerListener::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
         let addr = listener.local_addr().unwrap();
-        let agent = Arc::new(Self { identity: identity.clone(), script });
+        let agent = Arc::new(Self { identity: identity.clone(), script, stalled: AtomicBool::new(false) });
         spawn(listener.serve(identity, key, agent)).detach();
         addr
     }
@@ -118,6 +121,9 @@
     }
 
     async fn load(&self) -> RpcResult<LoadReport> {
+        while self.agent.stalled.load(Ordering::SeqCst) {
+            smol::Timer::after(Duration::from_millis(5)).await;
+        }
         Ok(self.agent.load())
     }
 }
@@ -172,6 +178,10 @@
                 smol::Timer::after(Duration::from_millis(1)).await;
             }
         }
+        Act::StallAfter(position) => {
+            send_answer(&peer, &req, 0, position).await;
+            agent.stalled.store(true, Ordering::SeqCst);
+        }
         Act::Hang | Act::Refuse(_) | Act::Vanish => {}
     }
 }
--- a/crates/fuchsiabay-entry/src/tests/requests.rs
+++ b/crates/fuchsiabay-entry/src/tests/requests.rs
@@ -70,6 +70,7 @@
     streamed: Ask::Stream, [SendUpTo(END)] => 200, "ran", 1;
     not_streamed: Ask::Whole, [SendUpTo(END)] => 200, "ran", 1;
     agent_dies_mid_stream: Ask::Stream, [DieAfter(2), SendUpTo(END)] => 200, "ran", 2;
+    agent_stalls_mid_stream: Ask::Stream, [StallAfter(2), SendUpTo(END)] => 200, "ran", 2;
     agent_dies_before_the_end: Ask::Stream, [DieAfter(4), SendUpTo(END)] => 200, "ran", 2;
     agent_dies_before_the_first_token: Ask::Stream, [DieAfter(0), SendUpTo(END)] => 200, "ran", 2;
     agent_dies_mid_answer: Ask::Whole, [DieAfter(3), SendUpTo(END)] => 200, "ran", 2;
--- a/crates/fuchsiabay-entry/src/tests/world.rs
+++ b/crates/fuchsiabay-entry/src/tests/world.rs
@@ -28,6 +28,9 @@
 const AGENTS: [(&str, &str); 4] =
     [("m1", "assistant"), ("m2", "assistant"), ("p1", "booking"), ("p2", "booking")];
 
+/// A stalled agent is given up after three of these, which keeps the tests short.
+const LOAD_TIMEOUT_MS: u64 = 500;
+
 /// A configuration that is current until it is told otherwise.
 pub(super) struct FixedConfig {
     in_force: Arc<InForce>,
@@ -121,7 +124,7 @@
         let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
         let addr = listener.local_addr().unwrap();
         callers::serve(Arc::clone(&entry), listener);
-        Membership::new(Arc::clone(&entry)).apply(&instances);
+        Membership::with_load_timeout(Arc::clone(&entry), LOAD_TIMEOUT_MS).apply(&instances);
         let world = Self { entry, script, records, addr };
         world.until(|world| world.servers() == AGENTS.len()).await;
         world
