Submit without a task of its own

The agent remembers a cancellation that overtakes its submission, so the submission need not survive its caller in a task and each request saves a hop between tasks.

--- a/crates/fuchsiabay-entry/src/call.rs
+++ b/crates/fuchsiabay-entry/src/call.rs
@@ -5,7 +5,6 @@
     time::{Duration, Instant},
 };
 
-use async_global_executor::Task;
 use fuchsiabay_base::{AttemptId, Timestamp, Verdict};
 use fuchsiabay_routing::{Command, Event, Failure, FailureKind, RequestMachine};
 use fuchsiabay_runtime::{AttemptEvent, AttemptStream, CallError, monotonic_now, sleep_until, spawn};
@@ -43,15 +42,12 @@
     Failed(Failure),
 }
 
-type Submission = Task<Result<SubmitReply, CallError>>;
-
 /// A request in progress. Dropping it before its end cancels the attempt in flight.
 pub(crate) struct Call<C: ConfigSource> {
     dispatcher: Dispatcher<C>,
     machine: RequestMachine<Target>,
     stream: Option<AttemptStream>,
     target: Option<Target>,
-    submission: Option<Submission>,
     // A command that waits for text to be written first.
     pending: Option<Command<Target>>,
     unwritten: Option<usize>,
@@ -83,7 +79,6 @@
             machine,
             stream: None,
             target: None,
-            submission: None,
             pending: None,
             unwritten: None,
             outcome: None,
@@ -168,7 +163,7 @@
                     self.cancel_and_wait(attempt, &target).await;
                 }
                 Command::Cancel { attempt, target, awaited: false } => {
-                    cancel(attempt, target, self.submission.take());
+                    cancel(attempt, target);
                 }
                 Command::Write { from } => self.unwritten = Some(self.unwritten.unwrap_or(from)),
                 Command::ClearSuspicion => self.dispatcher.clear_suspicion(),
@@ -192,11 +187,7 @@
         self.attempt_from = (Instant::now(), self.tokens());
         let req = self.job().submission(attempt, solo, resume_from, self.text(), now);
         let deadline = self.job().deadline.min(now.plus_millis(SUBMIT_TIMEOUT_MS));
-        // A task of its own, so that a caller that goes away cannot cut the submission off halfway: the cancellation
-        // waits for it.
-        let call = async move { peer.call::<SubmitRequest, SubmitReply>("submit", &req, deadline).await };
-        let reply = self.submission.insert(spawn(call)).await;
-        self.submission = None;
+        let reply = peer.call::<SubmitRequest, SubmitReply>("submit", &req, deadline).await;
         self.take_reply(attempt, &target, reply);
     }
 
@@ -364,7 +355,7 @@
         }
         while let Some(command) = self.pending.take().or_else(|| self.machine.next_command()) {
             match command {
-                Command::Cancel { attempt, target, .. } => cancel(attempt, target, self.submission.take()),
+                Command::Cancel { attempt, target, .. } => cancel(attempt, target),
                 Command::Fail(Failure { kind: FailureKind::CallerGone, verdict, .. }) => {
                     self.ran = verdict != Verdict::NotRun;
                     self.dispatcher.entry.counters.count_verdict(verdict);
@@ -380,13 +371,10 @@
     }
 }
 
-/// Orders the agent to cancel, after the submission has arrived there.
-fn cancel(attempt: AttemptId, target: Target, submission: Option<Submission>) {
+/// Orders the agent to cancel. An order that overtakes its submission is remembered by the agent.
+fn cancel(attempt: AttemptId, target: Target) {
     target.link().attempt_opened();
     let order = async move {
-        if let Some(submission) = submission {
-            let _ = submission.await;
-        }
         let deadline = monotonic_now().plus_millis(CANCEL_TIMEOUT_MS);
         let reply = target.link().peer().call::<AttemptId, CancelReply>("cancel", &attempt, deadline).await;
         if let Err(error) = reply {
