Let the engine stand-in load weights and count tokens of experts

A group could not be rebalanced against the stand-in: it had no weights to load and no counts of tokens. It now serves POST /group/weights, which takes time for each expert that a rank does not hold, and GET /group/load.

The settings of a group say how many ranks a server hosts, how many the group has, its experts, slots and step time, and are checked like the other fields.

--- a/crates/fuchsiabay-bench/src/cli.rs
+++ b/crates/fuchsiabay-bench/src/cli.rs
@@ -154,6 +154,8 @@
     let crash =
         long("crash").help("What a crash does: exit or abort").argument("MODE").fallback(defaults.crash);
     let ranks = number("ranks", "Ranks of the group that the engine hosts; 0 for no group", defaults.ranks);
+    let experts = number("experts", "Experts of the group", defaults.experts);
+    let weights_us = number("weights-us", "Time to load one expert, in microseconds", defaults.weights_us);
     construct!(EngineSettings {
         slots,
         step_us,
@@ -167,6 +169,8 @@
         crash_marker,
         crash,
         ranks,
+        experts,
+        weights_us,
     })
 }
 
--- a/crates/fuchsiabay-bench/src/engine/batch.rs
+++ b/crates/fuchsiabay-bench/src/engine/batch.rs
@@ -71,7 +71,7 @@
         Self {
             cache: PrefixCache::new(&settings),
             orders: Orders::default(),
-            group: Group::new(settings.ranks),
+            group: Group::new(settings.ranks, settings.experts),
             loads: LoadHistory::new(settings.load_lag_ms, settings.slots),
             settings,
             running: Vec::new(),
--- a/crates/fuchsiabay-bench/src/engine/http.rs
+++ b/crates/fuchsiabay-bench/src/engine/http.rs
@@ -1,6 +1,9 @@
 //! HTTP interface of the engine stand-in.
 
-use std::{sync::Arc, time::Instant};
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use parking_lot::Mutex;
 use serde::Deserialize;
@@ -11,7 +14,7 @@
 use super::{
     CrashMode, EngineSettings,
     batch::{Batch, Generation},
-    group::Permit,
+    group::{Permit, WeightsOrder},
     orders::Order,
     stream::stream,
 };
@@ -66,6 +69,8 @@
             .get("/kv/:id", with(&engine, Self::export_kv))
             .put("/kv/:id", with(&engine, Self::import_kv))
             .post("/group/permit", with(&engine, Self::permit))
+            .post("/group/weights", with(&engine, Self::load_weights))
+            .get("/group/load", with(&engine, Self::group_load))
             .get("/group", with(&engine, Self::group))
             .get("/health", with(&engine, Self::health))
     }
@@ -215,6 +220,30 @@
         }
     }
 
+    /// Answers when the weights are loaded.
+    async fn load_weights(mut conn: Conn, engine: Arc<Self>) -> Conn {
+        let order = match body::<WeightsOrder>(&mut conn).await {
+            Ok(order) => order,
+            Err(error) => return problem(conn, Status::BadRequest, &error),
+        };
+        let missing = {
+            let batch = engine.batch.lock();
+            batch.group.missing_weights(&order).map(|missing| (missing, batch.settings.weights_us))
+        };
+        let (missing, weights_us) = match missing {
+            Ok(missing) => missing,
+            Err(detail) => return problem(conn, Status::Conflict, detail),
+        };
+        smol::Timer::after(Duration::from_micros(weights_us * missing as u64)).await;
+        engine.batch.lock().group.weights_loaded(&order);
+        json(conn, Status::Ok, &json!({ "map": order.map, "loaded": missing }))
+    }
+
+    async fn group_load(conn: Conn, engine: Arc<Self>) -> Conn {
+        let load = engine.batch.lock().group.load();
+        json(conn, Status::Ok, &load)
+    }
+
     async fn group(conn: Conn, engine: Arc<Self>) -> Conn {
         let state = json!(engine.batch.lock().group);
         json(conn, Status::Ok, &state)
--- a/crates/fuchsiabay-bench/src/engine/settings.rs
+++ b/crates/fuchsiabay-bench/src/engine/settings.rs
@@ -29,6 +29,10 @@
     pub crash: CrashMode,
     /// Ranks of the group that the engine hosts. Zero stands for no group.
     pub ranks: usize,
+    /// Experts of the group.
+    pub experts: usize,
+    /// The time in which the weights of one expert are loaded, in microseconds.
+    pub weights_us: u64,
 }
 
 impl Default for EngineSettings {
@@ -46,6 +50,8 @@
             crash_marker: "[crash]".to_owned(),
             crash: CrashMode::Exit,
             ranks: 0,
+            experts: 256,
+            weights_us: 1_000,
         }
     }
 }
--- a/crates/fuchsiabay-bench/tests/stand_ins.rs
+++ b/crates/fuchsiabay-bench/tests/stand_ins.rs
@@ -120,6 +120,10 @@
         step("POST", "/group/permit", r#"{"rank":0,"map":1,"through_step":5}"#, 409, ""),
         step("POST", "/group/permit", r#"{"rank":2,"map":1,"through_step":5}"#, 409, ""),
         step("GET", "/group", "", 200, r#""step":0"#),
+        step("POST", "/group/weights", r#"{"map":1,"rank":1,"slots":[[[0,10000]],[[1,10000]]]}"#, 409, ""),
+        step("POST", "/group/weights", r#"{"map":1,"rank":0,"slots":[[[0,10000]],[[1,10000]]]}"#, 200, r#""loaded":2"#),
+        step("POST", "/group/weights", r#"{"map":2,"rank":0,"slots":[[[0,10000]]]}"#, 200, r#""loaded":0"#),
+        step("GET", "/group/load", "", 200, r#""rank_us":[1000000,1000000]"#),
     ];
     unknown_streams_are_not_found: Engine::handler(fast()) => [
         step("POST", "/cancel/a", "", 404, ""),
--- a/crates/fuchsiabay-settings/tests/faults.rs
+++ b/crates/fuchsiabay-settings/tests/faults.rs
@@ -82,6 +82,14 @@
         "f:7: claims.retention_ms: allowed: 3665000 ms (window_ms + skew_ms + 60000 ms) or more";
     refuses_ranks_of_a_plain_service: AGENT, "\"model\"" => "\"plain\", \"group\": {\"name\": \"g\", \"rank\": 0}",
         "f:4: backend.group: allowed: only with `kind` `model`; plain services have no ranks";
+    // A generation that names a rank outside of the group never starts.
+    refuses_ranks_outside_of_the_group: AGENT, "\"slots\": 8" =>
+        "\"slots\": 8, \"group\": {\"name\": \"g\", \"rank\": 60, \"ranks\": 8}",
+        "f:4: backend.group.rank: allowed: `rank` + `ranks` up to 64 (group_ranks); ranks count from 0";
+    // Some expert would have no replica.
+    refuses_too_few_expert_slots: AGENT, "\"slots\": 8" =>
+        "\"slots\": 8, \"group\": {\"name\": \"g\", \"rank\": 0, \"group_ranks\": 16}",
+        "f:4: backend.group.expert_slots: allowed: 16 to 256 slots (experts / group_ranks to experts)";
 }
 
 #[test]
