--- a/crates/fuchsiabay-measure/src/fleet/managed.rs
+++ b/crates/fuchsiabay-measure/src/fleet/managed.rs
@@ -149,8 +149,8 @@
                     self.places.remove(&(request as usize));
                     scene.end(request as usize, Fate::Lost);
                 }
-                // The fleet cancels nothing, and a server that is lost does not come back.
-                Command::CancelRunning(_) | Command::HandBack(_) => {}
+                // The fleet cancels nothing.
+                Command::CancelRunning(_) => {}
                 Command::Pause(JobId(request)) => scene.pause(request as usize),
                 Command::Resume(JobId(request)) => scene.resume(request as usize),
             }
