Run maintenance on virtual time

Three agents with real schedulers leave and come back while calls that are not idempotent arrive through real request machines; in half of the cases agents and servers also die. The checker looks at what servers start and at what callers are told: nothing starts on an agent that leaves, and no call fails while agents only leave. Two switches for these runs are new in the admission crate.

--- a/crates/fuchsiabay-admission/src/scheduler/commands.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/commands.rs
@@ -1,6 +1,6 @@
 //! What changes the state of the scheduler from outside.
 
-use fuchsiabay_base::{Timestamp, invariant};
+use fuchsiabay_base::{Timestamp, invariant, mechanism};
 
 use super::{CancelOutcome, Crash, Scheduler, Suspect, Waiting};
 use crate::{Command, DropReason, Job, JobId, Limits, Refusal, RefusalCause, workspace_queue::Queued};
@@ -124,7 +124,9 @@
     /// Refuses new work for good and hands waiting work back. Running work goes on.
     pub fn drain(&mut self) {
         self.draining = true;
-        self.drop_all(DropReason::Draining);
+        if mechanism("drain-hand-back") {
+            self.drop_all(DropReason::Draining);
+        }
     }
 
     /// Records a crash of the backend server: everything that ran there is suspected, and waiting and paused work
@@ -164,7 +166,7 @@
     }
 
     fn refusal(&self, now: Timestamp, job: &Job) -> Option<RefusalCause> {
-        if self.draining {
+        if self.draining && mechanism("drain-refuses") {
             return Some(RefusalCause::Draining);
         }
         if self.down {
--- a/crates/fuchsiabay-prove/src/lib.rs
+++ b/crates/fuchsiabay-prove/src/lib.rs
@@ -16,6 +16,8 @@
 mod config_world;
 mod crash_script;
 mod crash_world;
+mod drain_script;
+mod drain_world;
 mod fake_log;
 mod map_script;
 mod map_world;
--- a/crates/fuchsiabay-prove/src/mechanism.rs
+++ b/crates/fuchsiabay-prove/src/mechanism.rs
@@ -70,6 +70,9 @@
     mechanism("total-tokens", "off: the end of an attempt ends the answer", Promise::WholeAnswer),
     mechanism("contiguous-tokens", "off: tokens are appended after a gap", Promise::WholeAnswer),
     mechanism("drop-late-frames", "off: frames of other attempts are taken", Promise::WholeAnswer),
+    mechanism("drain-refuses", "off: a draining agent admits new work", Promise::LeavingAndDrain),
+    mechanism("drain-hand-back", "off: waiting work stays in the queue of a drain", Promise::LeavingAndDrain),
+    mechanism("retry-when-harmless", "off: a call that may have run is sent again", Promise::LeavingAndDrain),
 ];
 
 const fn mechanism(name: &'static str, description: &'static str, promise: Promise) -> Mechanism {
--- a/crates/fuchsiabay-prove/src/promise.rs
+++ b/crates/fuchsiabay-prove/src/promise.rs
@@ -22,6 +22,8 @@
     ExpertMap,
     /// A caller receives its own answer, and an incomplete one never passes as complete.
     WholeAnswer,
+    /// A leaving backend server gets no new work and finishes what it runs.
+    LeavingAndDrain,
 }
 
 impl Promise {
@@ -34,6 +36,7 @@
         Self::Fencing,
         Self::ExpertMap,
         Self::WholeAnswer,
+        Self::LeavingAndDrain,
     ];
 
     /// Returns the name on the command line.
@@ -46,6 +49,7 @@
             Self::Fencing => "fencing",
             Self::ExpertMap => "expert-map",
             Self::WholeAnswer => "whole-answer",
+            Self::LeavingAndDrain => "leaving-and-drain",
         }
     }
 
@@ -64,6 +68,7 @@
             }
             Self::Fencing => "no order reaches an engine past its deadline or replaces a newer one",
             Self::ExpertMap => "all ranks of a group use the same expert map in every step",
+            Self::LeavingAndDrain => "a leaving server starts no new work, and no call is cut off",
             Self::WholeAnswer => {
                 "a caller receives the complete answer to its own request, or a visibly incomplete one"
             }
--- a/crates/fuchsiabay-prove/src/script.rs
+++ b/crates/fuchsiabay-prove/src/script.rs
@@ -5,8 +5,9 @@
 use crate::{
     Outcome, Promise, Step, claims_script::ClaimAction, claims_world::ClaimsWorld,
     config_script::ConfigAction, config_world::ConfigWorld, crash_script::CrashAction,
-    crash_world::CrashWorld, map_script::MapAction, map_world::MapWorld, order_script::OrderAction,
-    order_world::OrderWorld, stream_script::StreamAction, stream_world::StreamWorld,
+    crash_world::CrashWorld, drain_script::DrainAction, drain_world::DrainWorld, map_script::MapAction,
+    map_world::MapWorld, order_script::OrderAction, order_world::OrderWorld, stream_script::StreamAction,
+    stream_world::StreamWorld,
 };
 
 /// The actions of a case: the part of a trace that can be read and shortened.
@@ -22,6 +23,8 @@
     Crashes(Vec<Step<CrashAction>>),
     /// Orders to one engine.
     Orders(Vec<Step<OrderAction>>),
+    /// Maintenance of three agents.
+    Drains(Vec<Step<DrainAction>>),
     /// Map switches of a group of four ranks.
     Maps(Vec<Step<MapAction>>),
     /// Streamed answers of four backend servers.
@@ -36,6 +39,7 @@
             Promise::Config => Self::Config(ConfigAction::script(rng)),
             Promise::CrashContainment => Self::Crashes(CrashAction::script(rng)),
             Promise::Fencing => Self::Orders(OrderAction::script(rng)),
+            Promise::LeavingAndDrain => Self::Drains(DrainAction::script(rng)),
             Promise::ExpertMap => Self::Maps(MapAction::script(rng)),
             Promise::WholeAnswer => Self::Streams(StreamAction::script(rng)),
         }
@@ -48,6 +52,7 @@
             Self::Config(steps) => ConfigWorld::run(steps, seed),
             Self::Crashes(steps) => CrashWorld::run(steps, seed),
             Self::Orders(steps) => OrderWorld::run(steps, seed),
+            Self::Drains(steps) => DrainWorld::run(steps, seed),
             Self::Maps(steps) => MapWorld::run(steps, seed),
             Self::Streams(steps) => StreamWorld::run(steps, seed),
         }
@@ -60,6 +65,7 @@
             Self::Config(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
             Self::Crashes(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
             Self::Orders(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
+            Self::Drains(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
             Self::Maps(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
             Self::Streams(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
         }
@@ -72,6 +78,7 @@
             Self::Config(steps) => steps.len(),
             Self::Crashes(steps) => steps.len(),
             Self::Orders(steps) => steps.len(),
+            Self::Drains(steps) => steps.len(),
             Self::Maps(steps) => steps.len(),
             Self::Streams(steps) => steps.len(),
         }
@@ -85,6 +92,7 @@
             Self::Config(steps) => drop(steps.remove(i)),
             Self::Crashes(steps) => drop(steps.remove(i)),
             Self::Orders(steps) => drop(steps.remove(i)),
+            Self::Drains(steps) => drop(steps.remove(i)),
             Self::Maps(steps) => drop(steps.remove(i)),
             Self::Streams(steps) => drop(steps.remove(i)),
         }
--- a/crates/fuchsiabay-prove/tests/runs.rs
+++ b/crates/fuchsiabay-prove/tests/runs.rs
@@ -27,6 +27,7 @@
     crash_containment: "crash-containment";
     fencing: "fencing";
     expert_map: "expert-map";
+    leaving_and_drain: "leaving-and-drain";
     whole_answer: "whole-answer";
 }
 
