--- a/crates/fuchsiabay-routing/src/request_machine.rs
+++ b/crates/fuchsiabay-routing/src/request_machine.rs
@@ -423,7 +423,7 @@
         let id = cx.next_attempt();
         invariant!(
             "retry-is-harmless",
-            self.idempotent || self.verdict == Verdict::NotRun,
+            self.idempotent || self.verdict == Verdict::NotRun || !mechanism("retry-when-harmless"),
             "attempt {id} of a call that is not idempotent follows one that may have run"
         );
         self.attempts += 1;
