Refuse dot segments and measure the pace from the first token

A service that resolves dot segments would serve another path than the one that was matched, possibly one that runs at most once, so such paths get 400.

--- a/crates/fuchsiabay-entry/src/call.rs
+++ b/crates/fuchsiabay-entry/src/call.rs
@@ -28,6 +28,8 @@
 const CANCEL_TIMEOUT_MS: u64 = 5_000;
 /// A server is skipped for this many milliseconds after a failure, unless it said for how long.
 const SKIP_AFTER_FAILURE_MS: u64 = 1_000;
+/// Fewer tokens of an attempt do not tell the pace of its server.
+const MIN_TOKENS_FOR_PACE: u128 = 8;
 /// Text that is ready at the same time is written together up to this many bytes.
 const WRITE_BYTES: usize = 4_096;
 
@@ -55,7 +57,8 @@
     deadline: Timer,
     received_at: Instant,
     last_tokens_at: Option<Instant>,
-    attempt_from: (Instant, u32),
+    // When the first tokens of the attempt arrived and how many there were then.
+    attempt_from: Option<(Instant, u32)>,
     written_tokens: u32,
     ran: bool,
     _open: OpenRequest<C>,
@@ -85,7 +88,7 @@
             deadline,
             received_at,
             last_tokens_at: None,
-            attempt_from: (received_at, 0),
+            attempt_from: None,
             written_tokens: 0,
             ran: false,
             _open: entry.open_request(),
@@ -184,7 +187,7 @@
         }
         self.stream = Some(peer.open_attempt(attempt));
         self.target = Some(Arc::clone(&target));
-        self.attempt_from = (Instant::now(), self.tokens());
+        self.attempt_from = None;
         let req = self.job().submission(attempt, solo, resume_from, self.text(), now);
         let deadline = self.job().deadline.min(now.plus_millis(SUBMIT_TIMEOUT_MS));
         let reply = peer.call::<SubmitRequest, SubmitReply>("submit", &req, deadline).await;
@@ -268,7 +271,12 @@
 
     fn take_frame(&mut self, frame: AttemptEvent) {
         match frame {
-            AttemptEvent::Tokens(tokens) => self.handle(Event::Tokens(&tokens)),
+            AttemptEvent::Tokens(tokens) => {
+                self.handle(Event::Tokens(&tokens));
+                if self.attempt_from.is_none() {
+                    self.attempt_from = Some((Instant::now(), self.tokens()));
+                }
+            }
             AttemptEvent::End(end) => {
                 match (&self.target, end.error) {
                     (Some(target), Some(AttemptError::BackendLost | AttemptError::Draining)) => {
@@ -328,10 +336,12 @@
     }
 
     fn observe_pace(&self, target: &Target) {
-        let (from, position) = self.attempt_from;
+        let Some((from, position)) = self.attempt_from else {
+            return;
+        };
         let tokens = u128::from(self.tokens() - position);
-        // Short answers measure the wait and not the pace.
-        if tokens >= 8 {
+        // A few tokens measure the moment and not the pace.
+        if tokens >= MIN_TOKENS_FOR_PACE {
             target.observe_pace((from.elapsed().as_micros() / tokens) as u64);
         }
     }
--- a/crates/fuchsiabay-entry/src/plain.rs
+++ b/crates/fuchsiabay-entry/src/plain.rs
@@ -55,6 +55,9 @@
     let passed = entry.pass(conn.request_headers())?;
     let method = conn.method().as_str().to_owned();
     let target = conn.path_and_query().to_owned();
+    if has_dot_segment(conn.path()) {
+        return Err(Problem::bad_request("the path must not contain the segments . and .."));
+    }
     let Some(route) = passed.config.document.route(&method, conn.path()) else {
         let detail = format!("The configuration has no route {method} {}.", conn.path());
         return Err(Problem::not_run(404, "unknown-route", "The route is unknown", detail));
@@ -70,6 +73,14 @@
     Ok(Call::start(entry, job, suspect))
 }
 
+/// Returns whether a service that resolves dot segments would serve another path than the one that was matched. The
+/// route of that path may be one that runs at most once.
+fn has_dot_segment(path: &str) -> bool {
+    let is_dots =
+        |segment: &str| matches!(segment.to_ascii_lowercase().replace("%2e", ".").as_str(), "." | "..");
+    path.split(['/', '\\']).any(is_dots)
+}
+
 fn job(passed: &Passed, route: &Route, method: String, path: String, body: Vec<u8>) -> Job {
     let Passed { config, headers, received_at } = passed;
     let (priority, estimated_tokens) = match route.class {
--- a/crates/fuchsiabay-entry/src/tests/bad_input.rs
+++ b/crates/fuchsiabay-entry/src/tests/bad_input.rs
@@ -61,6 +61,8 @@
     too_many_headers: CHAT, (0..30).map(|n| format!("X-{n}: y\r\n")).collect::<String>() + WORKSPACE, "" => 431;
     unknown_route: "GET /secrets", WORKSPACE, "" => 404;
     wrong_method_of_route: "DELETE /lots/release", WORKSPACE, "" => 404;
+    dot_segments: "GET /lots/../lots/release", WORKSPACE, "" => 400;
+    encoded_dot_segments: "GET /lots/%2E%2e/lots/release", WORKSPACE, "" => 400;
     lot_release_without_key: "POST /lots/release", WORKSPACE, "{}" => 400;
     key_version_4: "POST /lots/release",
         format!("{WORKSPACE}Idempotency-Key: 9b2c1f6e-3d4a-4b5c-8d7e-0123456789ab\r\n"), "{}" => 400;
