Drive expert maps from the agent

The ledger and the gate of expert maps had no driver. An agent whose settings name a group now tails the stream of the group, posts permits, loads weights, votes, proposes and repeats the state against retention, and shows it in the dump. Permits run in a task of their own, so that a slow log stalls nothing.

Two faults showed. Records that name agents by rank could not be read back, because JSON keys are texts and a tagged record does not turn them into numbers; they are lists of pairs now, and a test reads every kind of record back. A former life that cannot read the log went on under the old map after its successor had switched: it now stops at a later generation or at permits that it did not give, and a new life votes only after the engine adopted its generation. Without that check the test of it fails with two maps in one step.

Tests with two agents and a fake engine cover a switch under steps, an outage of the log in the window, a restart between Prepare and vote, early and late aborts, and a former life without the log.

--- a/crates/fuchsiabay-agent/src/agent/mod.rs
+++ b/crates/fuchsiabay-agent/src/agent/mod.rs
@@ -21,8 +21,8 @@
 pub(crate) use ending::Ending;
 
 use crate::{
-    AgentParams, ConfigView, attempts::Attempts, backend::BackendClient, claims::Claims, meters::Meters,
-    orders::Orders,
+    AgentParams, ConfigView, attempts::Attempts, backend::BackendClient, claims::Claims, group::Group,
+    meters::Meters, orders::Orders,
 };
 
 /// The wait of short work after which a long stream beyond the share of long work is paused, in milliseconds. It is
@@ -40,6 +40,7 @@
     pub(crate) attempts: Attempts,
     pub(crate) claims: Claims,
     pub(crate) orders: Orders,
+    pub(crate) group: Option<Arc<Group>>,
     pub(crate) backend: BackendClient,
     pub(crate) log: LogClient,
     pub(crate) meters: Meters,
@@ -82,13 +83,15 @@
         let limits = limits(&params, config.preset().as_ref());
         let mut scheduler = Scheduler::new(limits);
         scheduler.backend_down();
+        let (backend, log) = (BackendClient::new(&params.backend_url), LogClient::new(&params.log_url));
         Arc::new(Self {
             scheduler: Mutex::new(scheduler),
             attempts: Attempts::default(),
             claims: Claims::new(&params),
             orders: Orders::new(),
-            backend: BackendClient::new(&params.backend_url),
-            log: LogClient::new(&params.log_url),
+            group: Group::new(&params, &backend, &log),
+            backend,
+            log,
             meters: Meters::new(),
             neighbours: Mutex::default(),
             next_job: AtomicU64::new(1),
--- a/crates/fuchsiabay-agent/src/agent/queries.rs
+++ b/crates/fuchsiabay-agent/src/agent/queries.rs
@@ -59,6 +59,7 @@
             "attempts": attempts,
             "claims": self.claims.status(),
             "orders": self.orders.snapshot(unix_now()),
+            "group": self.group.as_ref().map(|group| group.dump()),
             "config": self.config.dump(now),
             "entries": self.neighbours().iter().map(|peer| peer.hello().instance.clone()).collect::<Vec<_>>(),
             "invariant_violations": fuchsiabay_base::violations(),
--- a/crates/fuchsiabay-agent/src/backend/client.rs
+++ b/crates/fuchsiabay-agent/src/backend/client.rs
@@ -206,6 +206,31 @@
         Ok(EngineState { values, highest_fence: reply.highest_fence })
     }
 
+    /// Reads JSON from `path`.
+    pub(super) async fn read<T: DeserializeOwned>(
+        &self,
+        path: &str,
+        timeout_ms: u64,
+    ) -> Result<T, BackendFailure> {
+        parse(&with_timeout(text(self.pooled.get(self.url(path))), timeout_ms).await?)
+    }
+
+    /// Posts `call` as JSON to `path`.
+    pub(super) async fn post(
+        &self,
+        path: &str,
+        call: &impl Serialize,
+        timeout_ms: u64,
+    ) -> Result<(), BackendFailure> {
+        let body = serde_json::to_string(call).map_err(|error| BackendFailure::Lost(error.to_string()))?;
+        let conn = self
+            .pooled
+            .post(self.url(path))
+            .with_request_header(KnownHeaderName::ContentType, "application/json")
+            .with_body(body);
+        with_timeout(text(conn), timeout_ms).await.map(drop)
+    }
+
     fn url(&self, path: &str) -> String {
         format!("{}{path}", self.base)
     }
--- a/crates/fuchsiabay-agent/src/daemon.rs
+++ b/crates/fuchsiabay-agent/src/daemon.rs
@@ -43,6 +43,10 @@
             BackendKind::Model => {
                 spawn(orders::read(Arc::clone(self))).detach();
                 spawn(orders::carry_out(Arc::clone(self))).detach();
+                if let Some(group) = &self.group {
+                    spawn(Arc::clone(group).follow()).detach();
+                    spawn(Arc::clone(group).permit_steps()).detach();
+                }
             }
             BackendKind::Plain => {
                 spawn(Arc::clone(self).read_claims()).detach();
--- a/crates/fuchsiabay-agent/src/lib.rs
+++ b/crates/fuchsiabay-agent/src/lib.rs
@@ -1,6 +1,6 @@
 //! The agent beside a backend server: admission, at-most-once calls, orders and drain.
 //!
-//! Decisions are made by the state machines of `fuchsiabay-admission`, `fuchsiabay-claims` and
+//! Decisions are made by the state machines of `fuchsiabay-admission`, `fuchsiabay-claims`, `fuchsiabay-experts` and
 //! `fuchsiabay-fencing`; this crate connects them to sockets, clocks and the backend server.
 //!
 //! Invariants kept here: each admitted attempt ends with one `End`; `not-run` is said only after the start was
@@ -13,6 +13,7 @@
 mod claims;
 mod config_view;
 mod daemon;
+mod group;
 mod health;
 mod leaving;
 mod meters;
--- a/crates/fuchsiabay-agent/src/params.rs
+++ b/crates/fuchsiabay-agent/src/params.rs
@@ -3,7 +3,7 @@
 use fuchsiabay_base::ServiceName;
 use fuchsiabay_claims::ClaimLimits;
 use fuchsiabay_runtime::Identity;
-use fuchsiabay_settings::{AgentSettings, BackendKind};
+use fuchsiabay_settings::{AgentSettings, BackendKind, GroupSettings};
 
 /// What one agent is told at its start.
 #[derive(Clone, Debug)]
@@ -24,6 +24,8 @@
     pub list_url: String,
     /// How old and how new idempotency keys may be.
     pub claims: ClaimLimits,
+    /// The place of the backend server in a group of ranks.
+    pub group: Option<GroupSettings>,
 }
 
 impl AgentParams {
@@ -40,6 +42,7 @@
             log_url: settings.log_url.clone(),
             list_url: settings.list_url.clone(),
             claims: ClaimLimits { window_ms: claims.window_ms, skew_ms: claims.skew_ms, margin_ms },
+            group: settings.backend.group.clone(),
         }
     }
 }
--- a/crates/fuchsiabay-agent/tests/support/fakes.rs
+++ b/crates/fuchsiabay-agent/tests/support/fakes.rs
@@ -17,13 +17,13 @@
 use trillium::{Body, Conn, Handler, Status};
 use trillium_router::{Router, RouterConnExt};
 
-async fn serve(handler: impl Handler) -> SocketAddr {
+pub(crate) async fn serve(handler: impl Handler) -> SocketAddr {
     let handle = trillium_smol::config().with_host("127.0.0.1").with_port(0).without_signals().spawn(handler);
     *handle.info().await.tcp_socket_addr().unwrap()
 }
 
 /// Answers with the JSON of `f`.
-fn route<S: Send + Sync + 'static>(
+pub(crate) fn route<S: Send + Sync + 'static>(
     state: &Arc<S>,
     f: impl Fn(&S, &Conn, Value) -> Result<Value, Status> + Clone + Send + Sync + 'static,
 ) -> impl Handler {
@@ -188,14 +188,23 @@
 /// The log. It can be down, or lose the answers to appends that took effect.
 #[derive(Default)]
 pub(crate) struct FakeLog {
-    streams: Mutex<BTreeMap<String, Vec<Value>>>,
+    streams: Arc<Mutex<BTreeMap<String, Vec<Value>>>>,
     down: Mutex<bool>,
     loses_answers: Mutex<bool>,
 }
 
 impl FakeLog {
     pub(crate) async fn start() -> (Arc<Self>, SocketAddr) {
-        let log = Arc::new(Self::default());
+        Self::default().serve().await
+    }
+
+    /// Serves the same streams at a second address with faults of its own.
+    pub(crate) async fn second(&self) -> (Arc<Self>, SocketAddr) {
+        Self { streams: Arc::clone(&self.streams), ..Self::default() }.serve().await
+    }
+
+    async fn serve(self) -> (Arc<Self>, SocketAddr) {
+        let log = Arc::new(self);
         let router = Router::new()
             .post("/streams/:name/records", route(&log, Self::append))
             .get("/streams/:name/records", route(&log, Self::read));
@@ -238,6 +247,12 @@
         *self.loses_answers.lock() = loses;
     }
 
+    /// Returns the records of a stream.
+    pub(crate) fn records(&self, name: &str) -> Vec<Value> {
+        let streams = self.streams.lock();
+        streams.get(name).into_iter().flatten().map(|record| record["data"].clone()).collect()
+    }
+
     /// Appends a record as an operator does.
     pub(crate) fn put(&self, name: &str, data: Value) {
         let mut streams = self.streams.lock();
--- a/crates/fuchsiabay-agent/tests/support/mod.rs
+++ b/crates/fuchsiabay-agent/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)] // Each test file uses a part of it.
 
 pub(crate) mod fakes;
+pub(crate) mod group;
 
 use std::{
     net::SocketAddr,
@@ -94,6 +95,7 @@
             // Nobody listens there: the list is down, and the agent goes on.
             list_url: "http://127.0.0.1:1".to_owned(),
             claims: ClaimLimits { window_ms: 600_000, skew_ms: 5_000, margin_ms: 60_000 },
+            group: None,
         };
         let agent = Agent::new(params, Arc::new(FixedConfig));
         let listener = PeerListener::bind("127.0.0.1:0".parse().unwrap()).await.unwrap();
--- a/crates/fuchsiabay-experts/src/ledger.rs
+++ b/crates/fuchsiabay-experts/src/ledger.rs
@@ -102,6 +102,14 @@
         self.next_offset = self.next_offset.max(offset + 1);
     }
 
+    /// Notes that retention dropped the records before `first`. The state is unknown when some of them were not read.
+    pub fn retained_from(&mut self, first: u64) {
+        if first > self.next_offset {
+            self.unknown = Some(Backlog { from: first, ..Backlog::default() });
+            self.next_offset = first;
+        }
+    }
+
     /// Returns the offset of the next record to read.
     pub fn next_offset(&self) -> u64 {
         self.next_offset
--- a/crates/fuchsiabay-experts/src/map_record.rs
+++ b/crates/fuchsiabay-experts/src/map_record.rs
@@ -4,6 +4,7 @@
 
 use fuchsiabay_base::WriterId;
 use serde::{Deserialize, Serialize};
+use serde_with::serde_as;
 
 use crate::{ExpertMap, PendingSwitch, Segment};
 
@@ -26,6 +27,9 @@
 pub struct SwitchId(pub u64);
 
 /// A record of the log stream `maps-GROUP`.
+///
+/// Maps with ranks as keys are lists of pairs, because JSON has no keys that are numbers.
+#[serde_as]
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
 #[serde(tag = "kind", rename_all = "kebab-case")]
@@ -36,6 +40,7 @@
         /// The number, one above the generation before.
         generation: u64,
         /// The agent of each rank. An agent may serve several ranks.
+        #[serde_as(as = "Vec<(_, _)>")]
         ranks: BTreeMap<Rank, WriterId>,
     },
     /// Proposes that `map` is used from `hold_step` on.
@@ -72,6 +77,7 @@
         /// The generation.
         generation: u64,
         /// The agent of each rank.
+        #[serde_as(as = "Vec<(_, _)>")]
         ranks: BTreeMap<Rank, WriterId>,
         /// The last segments. Earlier steps are finished.
         segments: Vec<Segment>,
--- a/crates/fuchsiabay-experts/src/proposer.rs
+++ b/crates/fuchsiabay-experts/src/proposer.rs
@@ -34,6 +34,8 @@
     /// Whether a generation named this life.
     was_named: bool,
     retry_at: Timestamp,
+    /// The generation that was seen last. A new one decided what this agent proposed before.
+    generation: u64,
     abort_at: Option<(SwitchId, Timestamp)>,
     snapshot_at: Timestamp,
 }
@@ -48,6 +50,7 @@
             pace,
             was_named: false,
             retry_at: now,
+            generation: 0,
             abort_at: None,
             snapshot_at: now.plus_millis(SNAPSHOT_MS),
         }
@@ -62,6 +65,9 @@
     /// when it was first seen.
     pub fn observe(&mut self, now: Timestamp, ledger: &MapLedger) {
         self.was_named |= ledger.is_complete() && self.is_named(ledger);
+        if ledger.generation() != self.generation {
+            (self.generation, self.retry_at) = (ledger.generation(), now);
+        }
         self.abort_at = ledger.pending().map(|pending| match self.abort_at {
             Some((switch, deadline)) if switch == pending.switch => (switch, deadline),
             _ => (pending.switch, now.plus_millis(ABORT_AFTER_MS + self.stagger_ms(ledger))),
--- a/crates/fuchsiabay-experts/tests/ledger.rs
+++ b/crates/fuchsiabay-experts/tests/ledger.rs
@@ -148,3 +148,29 @@
     assert!(!reader.is_complete());
     assert_eq!(StepGate::new(writer("a")).permit(&reader, 0, 64), None);
 }
+
+// A reader that was frozen beyond the retention would go on under a map that others have left.
+#[test]
+fn dropped_records_make_the_state_unknown() {
+    let mut reader = ledger(&[generation(1, &["a"])]);
+    reader.retained_from(1);
+    assert!(reader.is_complete());
+    reader.retained_from(3);
+    let stale = ledger(&[generation(1, &["a"]), abort(0)]).snapshot().unwrap();
+    assert!(!reader.apply(3, &stale) && !reader.is_complete());
+    reader.skip(4);
+    assert_eq!(reader.next_offset(), 5);
+}
+
+// A record that its own writer cannot read back would hold the group for ever.
+#[test]
+fn records_survive_the_log() {
+    let mut full = ledger(&[generation(1, &["a", "b"]), prepare(1, 1, 100), vote(1, 1, "a")]);
+    let pending = full.snapshot().unwrap();
+    full.apply(3, &vote(1, 1, "b"));
+    let records = [generation(1, &["a", "b"]), prepare(1, 1, 100), vote(1, 1, "a"), abort(1), pending];
+    for record in records.into_iter().chain(full.snapshot()) {
+        let json = serde_json::to_value(&record).unwrap();
+        assert_eq!(serde_json::from_value::<MapRecord>(json).unwrap(), record);
+    }
+}
--- a/crates/fuchsiabay-settings/src/backend.rs
+++ b/crates/fuchsiabay-settings/src/backend.rs
@@ -41,6 +41,9 @@
     /// must be the same for all agents of the group.
     #[serde(default = "default_step_us")]
     pub step_us: u64,
+    /// The interval in which the placement of experts is planned again, in milliseconds.
+    #[serde(default = "default_plan_ms")]
+    pub plan_ms: u64,
 }
 
 impl GroupSettings {
@@ -61,6 +64,7 @@
             "backend.group.expert_slots",
             "slots (experts / group_ranks to experts)",
         );
+        problems.range(self.plan_ms, 1_000..=3_600_000, "backend.group.plan_ms", "ms");
         problems.range(self.step_us, 100..=10_000_000, "backend.group.step_us", "us");
     }
 }
@@ -81,6 +85,10 @@
     6
 }
 
+fn default_plan_ms() -> u64 {
+    60_000
+}
+
 fn default_step_us() -> u64 {
     28_000
 }
