--- a/crates/fuchsiabay-admission/src/scheduler/dispatch.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/dispatch.rs
@@ -8,6 +8,10 @@
     workspace_queue::{Place, Queued},
 };
 
+/// The longest wait for an empty backend server that a suspected job may cause before it aged, in milliseconds. It is
+/// below the usual time to first token, so that short work hardly notices it.
+const SOLO_DRAIN_MS: u64 = 250;
+
 /// What to start in the next free slot.
 enum Next {
     Solo,
@@ -32,16 +36,19 @@
         if self.down || self.active() >= self.limits.slots || self.solo_runs() {
             return None;
         }
-        let paused = self.oldest_paused();
-        if let Some(solo) = self.solos.front() {
-            if self.running.is_empty() {
+        if let Some(solo) = self.solos.front().filter(|_| !self.owes_a_turn()) {
+            // Paused jobs are not on the backend server.
+            if self.active() == 0 {
                 return Some(Next::Solo);
             }
-            // A suspected job that aged stops further starts, or a busy backend server would never run it.
-            if solo.queued_at.plus_millis(self.limits.ageing_ms) <= now {
-                return paused.map(|(id, _)| Next::Paused(id));
+            // A suspected job stops further starts once it aged, or a busy backend server would never run it, and
+            // while the wait for an empty backend server is short.
+            let aged = solo.queued_at.plus_millis(self.limits.ageing_ms) <= now;
+            if aged || self.empties_within(SOLO_DRAIN_MS) {
+                return None;
             }
         }
+        let paused = self.oldest_paused();
         let short_waits = !self.short_arrivals.is_empty();
         let within_share = self.long_active() < self.limits.long_slots();
         if within_share && self.long_aged(now) {
@@ -53,6 +60,12 @@
         (paused.is_some() || !self.long_arrivals.is_empty()).then(|| self.next_long(paused))
     }
 
+    /// Returns whether work waits that goes before the next suspected job.
+    fn owes_a_turn(&self) -> bool {
+        let first = self.short_arrivals.keys().next().into_iter().chain(self.long_arrivals.keys().next());
+        first.min().is_some_and(|arrival| *arrival < self.owed_before)
+    }
+
     /// A paused job goes before one that was never started, because its slot time and cache are spent already.
     fn next_long(&self, paused: Option<(JobId, Timestamp)>) -> Next {
         paused.map_or(Next::Waiting(Class::Long), |(id, _)| Next::Paused(id))
@@ -84,10 +97,10 @@
         };
         invariant!(
             "solo-runs-alone",
-            self.running.is_empty(),
+            self.active() == 0,
             "{} starts beside {}",
             queued.job.id,
-            self.running.len()
+            self.active()
         );
         self.waiting.remove(&queued.job.id);
         self.deadlines.remove(&(queued.job.deadline, queued.job.id));
--- a/crates/fuchsiabay-admission/tests/scheduler.rs
+++ b/crates/fuchsiabay-admission/tests/scheduler.rs
@@ -48,7 +48,7 @@
     At(u64),
     Limits(Limits),
     Drain,
-    Crash(&'static [u64]),
+    Crash(&'static [u64], &'static [u64]),
     Up,
     Expect(&'static [Command]),
 }
@@ -80,10 +80,10 @@
             }
             Limits(limits) => scheduler.apply_limits(now, *limits),
             Drain => scheduler.drain(),
-            Crash(ids) => {
-                let suspects: Vec<_> =
-                    scheduler.backend_crashed().iter().map(|suspect| suspect.id.0).collect();
-                assert_eq!(suspects, *ids);
+            Crash(suspects, handed_back) => {
+                let crash = scheduler.backend_crashed();
+                assert_eq!(crash.suspects.iter().map(|suspect| suspect.id.0).collect::<Vec<_>>(), *suspects);
+                assert_eq!(crash.handed_back.iter().map(|id| id.0).collect::<Vec<_>>(), *handed_back);
             }
             Up => scheduler.backend_up(now),
             Expect(commands) => {
@@ -163,6 +163,19 @@
         At(100), Finish(1, 10), Expect(&[]), Finish(3, 10), Expect(&[START_2]),
         Short(5, "a"), Expect(&[]), Finish(2, 10), Expect(&[START_4, START_5]),
     ];
+    // Guards against short work that waits for every suspected request of a crash in a row.
+    suspects_take_turns: LIMITS, [
+        Solo(1), Solo(2), Short(3, "a"), Expect(&[START_1]), At(100), Finish(1, 10), Expect(&[START_3]),
+        Short(4, "a"), Finish(3, 10), Expect(&[START_2]), Finish(2, 10), Expect(&[START_4]),
+    ];
+    // Guards against a suspected request that waits for its ageing although the server could be empty at once, and
+    // against one that empties the server while a long job runs. 1 token takes 1 ms here.
+    suspect_empties_a_server_that_is_nearly_done: Limits { ageing_ms: 60_000, ..LIMITS }, [
+        Short(1, "a"), At(10), Finish(1, 10), Sized(2, "a", 90), Solo(3), Short(4, "a"),
+        Expect(&[START_1, START_2]), At(100), Finish(2, 90), Expect(&[START_3]),
+        At(110), Finish(3, 10), Expect(&[START_4]), At(120), Finish(4, 10),
+        Long(5, "a"), Solo(6), Short(7, "a"), Expect(&[START_5, Command::Start(JobId(7))]),
+    ];
     // Guards against a drain that cuts off running work or starts queued work.
     drain_hands_back: LIMITS, [
         Short(1, "a"), Short(2, "a"), Short(3, "a"), Expect(&[START_1, START_2]), Drain,
@@ -171,10 +184,16 @@
     ];
     // Guards against a crash that is attributed to a job which never started.
     crash_suspects_what_ran: LIMITS, [
-        Short(1, "a"), Short(2, "a"), Short(3, "a"), Expect(&[START_1, START_2]), Crash(&[1, 2]),
+        Short(1, "a"), Short(2, "a"), Short(3, "a"), Expect(&[START_1, START_2]), Crash(&[1, 2], &[]),
         Expect(&[Command::Drop(JobId(3), DropReason::BackendDown)]),
         Refused(4, "a", RefusalCause::BackendDown), Up, Short(5, "a"), Expect(&[START_5]),
     ];
+    // Guards against a crash that is attributed to a job which was off the server at the time.
+    crash_hands_paused_work_back: Limits { pause_after_ms: Some(20), ..LIMITS }, [
+        Long(1, "a"), Long(2, "a"), Short(3, "b"), Expect(&[START_1, START_2]),
+        At(20), Expect(&[Command::Pause(JobId(2)), START_3]),
+        Crash(&[1, 3], &[2]),
+    ];
     // Guards against work that is lost or classified by old limits when a preset is switched.
     preset_switch_keeps_work: Limits { slots: 1, ..LIMITS }, [
         Short(1, "a"), Sized(2, "a", 50), Sized(3, "b", 20), Expect(&[START_1]),
@@ -307,8 +326,10 @@
                     scheduler.apply_limits(now, Limits { slots, long_work_tokens, ..*scheduler.limits() });
                 }
                 (22, _) => {
-                    for suspect in scheduler.backend_crashed() {
-                        assert!(started.remove(&suspect.id) && open.remove(&suspect.id), "seed {seed}");
+                    let crash = scheduler.backend_crashed();
+                    let suspects = crash.suspects.iter().map(|suspect| suspect.id);
+                    for id in suspects.chain(crash.handed_back) {
+                        assert!(started.remove(&id) && open.remove(&id), "seed {seed}");
                     }
                 }
                 _ => scheduler.backend_up(now),
