Start the stand-ins of the command's test on a free port

Server::start takes a port again, and the address in the test parsed as one and failed at run time.

Measured: the tests of the command pass.

--- a/crates/fuchsiabay/tests/command.rs
+++ b/crates/fuchsiabay/tests/command.rs
@@ -29,10 +29,8 @@
 
 impl Platform {
     async fn start() -> Self {
-        let log = Server::start("127.0.0.1:0".parse().unwrap(), Log::handler(LogSettings::default()))
-            .await
-            .unwrap();
-        let list = Server::start("127.0.0.1:0".parse().unwrap(), List::handler(0)).await.unwrap();
+        let log = Server::start(0, Log::handler(LogSettings::default())).await.unwrap();
+        let list = Server::start(0, List::handler(0)).await.unwrap();
         let instance = OpsServer::start("127.0.0.1:0".parse().unwrap(), Arc::new(Instance)).await.unwrap();
         let platform = Self { log, list, instance };
         platform.list_instance().await;
