Wait for the admission as long as it can help

A call that runs at most once waits until its deadline, because a timeout could only turn its answer into may-have-run.

--- a/crates/fuchsiabay-entry/src/call.rs
+++ b/crates/fuchsiabay-entry/src/call.rs
@@ -20,8 +20,10 @@
     job::{Job, JobWork},
 };
 
-/// The time that an agent has to admit or refuse an attempt, in milliseconds.
-const SUBMIT_TIMEOUT_MS: u64 = 2_000;
+/// The time that an agent has to admit or refuse an attempt that may be sent elsewhere, in milliseconds. Agents answer at
+/// once, so a later answer means a stalled instance. A call that runs at most once has until its deadline, because a
+/// timeout could only turn its answer into `may-have-run`.
+const SUBMIT_TIMEOUT_MS: u64 = 1_000;
 /// The time that an agent has to answer a cancellation whose verdict the caller waits for, in milliseconds.
 const CANCEL_WAIT_MS: u64 = 1_000;
 /// The time that an agent has to answer a cancellation that nobody waits for, in milliseconds.
@@ -189,7 +191,8 @@
         self.target = Some(Arc::clone(&target));
         self.attempt_from = None;
         let req = self.job().submission(attempt, solo, resume_from, self.text(), now);
-        let deadline = self.job().deadline.min(now.plus_millis(SUBMIT_TIMEOUT_MS));
+        let timeout_ms = if self.job().idempotent { SUBMIT_TIMEOUT_MS } else { u64::MAX };
+        let deadline = self.job().deadline.min(now.plus_millis(timeout_ms));
         let reply = peer.call::<SubmitRequest, SubmitReply>("submit", &req, deadline).await;
         self.take_reply(attempt, &target, reply);
     }
