--- a/crates/fuchsiabay-prove/src/mechanism.rs
+++ b/crates/fuchsiabay-prove/src/mechanism.rs
@@ -62,11 +62,17 @@
     ),
     mechanism("suspects-alone", "off: a suspect runs beside other requests", Promise::CrashContainment),
     mechanism("quarantine", "off: no request is refused for its crashes", Promise::CrashContainment),
+    mechanism("order-high-water", "off: an order with an old token is accepted", Promise::Fencing),
+    mechanism("order-deadline", "off: an order is sent past its deadline", Promise::Fencing),
+    mechanism("order-read-back", "off: a send without an answer counts as applied", Promise::Fencing),
     mechanism("hold-step", "off: a rank passes the hold step before the decision", Promise::ExpertMap),
     mechanism("unanimous-votes", "off: one vote decides a switch", Promise::ExpertMap),
     mechanism("total-tokens", "off: the end of an attempt ends the answer", Promise::WholeAnswer),
     mechanism("contiguous-tokens", "off: tokens are appended after a gap", Promise::WholeAnswer),
     mechanism("drop-late-frames", "off: frames of other attempts are taken", Promise::WholeAnswer),
+    mechanism("drain-refuses", "off: a draining agent admits new work", Promise::LeavingAndDrain),
+    mechanism("drain-hand-back", "off: waiting work stays in the queue of a drain", Promise::LeavingAndDrain),
+    mechanism("retry-when-harmless", "off: a call that may have run is sent again", Promise::LeavingAndDrain),
 ];
 
 const fn mechanism(name: &'static str, description: &'static str, promise: Promise) -> Mechanism {
--- a/crates/fuchsiabay-prove/src/promise.rs
+++ b/crates/fuchsiabay-prove/src/promise.rs
@@ -16,10 +16,14 @@
     Config,
     /// A request that crashes its servers is refused, and harmless ones are served.
     CrashContainment,
+    /// No order is sent past its deadline or replaces a newer one.
+    Fencing,
     /// All ranks of a group use the same expert map in every step.
     ExpertMap,
     /// A caller receives its own answer, and an incomplete one never passes as complete.
     WholeAnswer,
+    /// A leaving backend server gets no new work and finishes what it runs.
+    LeavingAndDrain,
 }
 
 impl Promise {
@@ -29,8 +33,10 @@
         Self::NotRunIsTrue,
         Self::Config,
         Self::CrashContainment,
+        Self::Fencing,
         Self::ExpertMap,
         Self::WholeAnswer,
+        Self::LeavingAndDrain,
     ];
 
     /// Returns the name on the command line.
@@ -40,8 +46,10 @@
             Self::NotRunIsTrue => "not-run-is-true",
             Self::Config => "config",
             Self::CrashContainment => "crash-containment",
+            Self::Fencing => "fencing",
             Self::ExpertMap => "expert-map",
             Self::WholeAnswer => "whole-answer",
+            Self::LeavingAndDrain => "leaving-and-drain",
         }
     }
 
@@ -58,7 +66,9 @@
             Self::CrashContainment => {
                 "a request that crashes its servers is refused everywhere, and harmless ones are served"
             }
+            Self::Fencing => "no order reaches an engine past its deadline or replaces a newer one",
             Self::ExpertMap => "all ranks of a group use the same expert map in every step",
+            Self::LeavingAndDrain => "a leaving server starts no new work, and no call is cut off",
             Self::WholeAnswer => {
                 "a caller receives the complete answer to its own request, or a visibly incomplete one"
             }
--- a/crates/fuchsiabay-prove/tests/runs.rs
+++ b/crates/fuchsiabay-prove/tests/runs.rs
@@ -25,7 +25,9 @@
     not_run_is_true: "not-run-is-true";
     config: "config";
     crash_containment: "crash-containment";
+    fencing: "fencing";
     expert_map: "expert-map";
+    leaving_and_drain: "leaving-and-drain";
     whole_answer: "whole-answer";
 }
 
