Test how the load generator judges effects against what callers were told

Every demo rests on this comparison, and nothing checked it. Seven cases cover calls that ran once, twice, or although every sending was refused as not run.

--- a/crates/fuchsiabay-bench/src/load/report.rs
+++ b/crates/fuchsiabay-bench/src/load/report.rs
@@ -1,5 +1,8 @@
 //! Counts and times of a run.
 
+#[cfg(test)]
+mod tests;
+
 use std::{
     collections::{BTreeMap, HashMap},
     fmt,
--- /dev/null
+++ b/crates/fuchsiabay-bench/src/load/report/tests.rs
@@ -0,0 +1,60 @@
+//! What callers were told is compared with what ran.
+
+use std::{collections::HashMap, time::Duration};
+
+use super::{
+    super::{
+        outcome::{Observation, Outcome},
+        plan::{Kind, Request},
+    },
+    Report,
+};
+
+const KEY: &str = "key";
+
+/// Sends one key with `outcomes`, of which the services counted `effects`.
+fn check(outcomes: &[Outcome], effects: u64, wrong: u64, doubled: u64) {
+    let mut report = Report::default();
+    let request = Request {
+        at_us: 0,
+        subject: 1,
+        entry: 0,
+        workspace: 0,
+        kind: Kind::Keyed { random: 1, issued_ms: 0 },
+    };
+    for &outcome in outcomes {
+        let observation = Observation {
+            outcome,
+            detail: String::new(),
+            first_token: None,
+            total: Duration::from_millis(1),
+            tokens: 0,
+        };
+        report.add(&request, Some(KEY.to_owned()), observation);
+    }
+    let effects = (effects > 0).then(|| (KEY.to_owned(), effects));
+    report.add_effects(&effects.into_iter().collect::<HashMap<_, _>>());
+    assert_eq!((report.wrong, report.doubled), (wrong, doubled), "{report}");
+    let outcomes = report.answered + report.refused_not_run + report.may_have_run + report.wrong;
+    assert_eq!(report.sent, outcomes + report.truncated, "{report}");
+    assert_eq!(report.holds(), wrong == 0 && doubled == 0 && report.truncated == 0);
+}
+
+macro_rules! cases {
+    ($($name:ident: $outcomes:expr, $effects:expr => $wrong:expr, $doubled:expr;)+) => {
+        $(#[test] fn $name() { check(&$outcomes, $effects, $wrong, $doubled); })+
+    };
+}
+
+use Outcome::{Answered, MayHaveRun, RefusedNotRun, Truncated};
+
+// A report that misses one of these would let a broken promise pass in every demo.
+cases! {
+    answered_once: [Answered, Answered], 1 => 0, 0;
+    answered_and_run_twice: [Answered, Answered], 2 => 0, 1;
+    refused_and_not_run: [RefusedNotRun], 0 => 0, 0;
+    refused_but_run: [RefusedNotRun, RefusedNotRun], 1 => 1, 0;
+    refused_and_then_run: [RefusedNotRun, Answered], 1 => 0, 0;
+    unknown_and_run: [MayHaveRun, RefusedNotRun], 1 => 0, 0;
+    truncated_breaks_a_promise: [Truncated], 1 => 0, 0;
+}
