Show a switch of expert maps with real processes

The agents plan from the engine's counts and switch maps, then the agent of one rank is killed and restarted. The run fails when a step had two maps, when the switch stalled the group, or when the group does not go on after the restart.

--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -93,6 +93,7 @@
         engines: 1,
         services: 1,
         slots: 64,
+        agents_per_engine: 1,
         engine_args: strings(&["--step-us", "1000", "--step-per-stream-us", "0", "--prefill-block-us", "0"]),
         service_args: vec![],
     };
@@ -153,6 +154,7 @@
         services: 0,
         // Twice the streams that are open on average, so that a burst does not queue.
         slots: 200,
+        agents_per_engine: 1,
         engine_args: strings(&["--step-us", "5000", "--step-per-stream-us", "0", "--prefill-block-us", "0"]),
         service_args: vec![],
     };
@@ -197,6 +199,7 @@
         engines: 1,
         services: 0,
         slots: 1_200,
+        agents_per_engine: 1,
         engine_args: strings(&["--step-us", "50000", "--step-per-stream-us", "0", "--prefill-block-us", "0"]),
         service_args: vec![],
     };
--- a/xtask/src/cluster.rs
+++ b/xtask/src/cluster.rs
@@ -27,6 +27,10 @@
 const CONFIGURATION: &str = "examples/dakar/configuration.jsonc";
 /// How long everything may take to become ready.
 const READY_LIMIT: Duration = Duration::from_secs(20);
+/// Experts of a group.
+pub(crate) const GROUP_EXPERTS: usize = 16;
+/// The time of a step of a group, in microseconds.
+pub(crate) const GROUP_STEP_US: u64 = 6_000;
 const POLL: Duration = Duration::from_millis(100);
 
 /// The build profile of the programs.
@@ -46,6 +50,8 @@
     pub(crate) engines: usize,
     pub(crate) services: usize,
     pub(crate) slots: u32,
+    /// Agents that stand beside each engine. With more than one, each hosts a rank of a group on that engine.
+    pub(crate) agents_per_engine: usize,
     /// Arguments of each engine stand-in.
     pub(crate) engine_args: Vec<String>,
     /// Arguments of each plain service stand-in.
@@ -95,8 +101,9 @@
         };
         let log = start("log", &strings(&["log"]))?;
         let list = start("list", &strings(&["list"]))?;
+        let engine_slots = plan.slots as usize * plan.agents_per_engine;
         let engine_args =
-            [strings(&["engine", "--slots", &plan.slots.to_string()]), plan.engine_args.clone()];
+            [strings(&["engine", "--slots", &engine_slots.to_string()]), plan.engine_args.clone()];
         let service_args = [strings(&["service"]), plan.service_args.clone()];
         let engines = (0..plan.engines).map(|i| start(&format!("engine-{i}"), &engine_args.concat()));
         let engines = engines.collect::<Result<Vec<_>, _>>()?;
@@ -220,7 +227,8 @@
     }
 
     fn start_daemons(&mut self, plan: &Plan) -> Result<(), StepError> {
-        let ports = free_addresses(3 * plan.entries + 2 * (plan.engines + plan.services))?;
+        let engine_agents = plan.engines * plan.agents_per_engine;
+        let ports = free_addresses(3 * plan.entries + 2 * (engine_agents + plan.services))?;
         let mut ports = ports.into_iter();
         let mut next = || ports.next().unwrap_or(SocketAddr::from(([127, 0, 0, 1], 0)));
         for i in 0..plan.entries {
@@ -229,16 +237,20 @@
             settings["listen"] = json!(listen);
             self.entries.push(self.start_daemon(ENTRY, settings, None)?);
         }
-        for i in 0..plan.engines + plan.services {
+        for i in 0..engine_agents + plan.services {
             let (peer, ops) = (next(), next());
-            let engine = i < plan.engines;
+            let engine = i < engine_agents;
             let (kind, service, url, name) = if engine {
-                ("model", "assistant", &self.engines[i].url, format!("engine-agent-{i}"))
+                let url = &self.engines[i / plan.agents_per_engine].url;
+                ("model", "assistant", url, format!("engine-agent-{i}"))
             } else {
-                let i = i - plan.engines;
+                let i = i - engine_agents;
                 ("plain", "booking", &self.services[i].url, format!("service-agent-{i}"))
             };
-            let backend = json!({ "kind": kind, "service": service, "url": url, "slots": plan.slots });
+            let mut backend = json!({ "kind": kind, "service": service, "url": url, "slots": plan.slots });
+            if engine && plan.agents_per_engine > 1 {
+                backend["group"] = group(i, plan.agents_per_engine);
+            }
             let mut settings = self.common_settings(&name, i, peer, ops);
             settings["backend"] = backend;
             self.agents.push(self.start_daemon(AGENT, settings, Some(service))?);
@@ -352,6 +364,20 @@
     }
 }
 
+/// Returns the settings of the group for the engine agent `i`. The placement is planned soon, so that a short run sees a
+/// switch.
+fn group(i: usize, ranks: usize) -> Value {
+    json!({
+        "name": format!("group-{}", i / ranks),
+        "rank": i % ranks,
+        "group_ranks": ranks,
+        "experts": GROUP_EXPERTS,
+        "expert_slots": 6,
+        "step_us": GROUP_STEP_US,
+        "plan_ms": 1_000,
+    })
+}
+
 /// Returns the whole standard output of a process that ends by itself.
 pub(crate) fn read_to_end(process: &mut Process) -> Result<String, StepError> {
     let mut text = String::new();
--- a/xtask/src/demo.rs
+++ b/xtask/src/demo.rs
@@ -11,17 +11,24 @@
 use serde_json::{Value, json};
 
 use crate::{
-    cluster::{Cluster, Plan, Profile, read_to_end, strings},
+    cluster::{Cluster, GROUP_EXPERTS, GROUP_STEP_US, Plan, Profile, read_to_end, strings},
     process::{Process, stop_all_on_interrupt},
     steps::StepError,
 };
 
 /// How long requests arrive.
 const LOAD: Duration = Duration::from_secs(10);
+/// How long requests arrive while a group switches, which takes 10 s from the proposal.
+const SWITCH_LOAD: Duration = Duration::from_secs(30);
 /// When the fault begins.
 const FAULT_AT: Duration = Duration::from_millis(3_500);
 /// How long an agent is stopped and how long the log is out of service.
 const FAULT: Duration = Duration::from_secs(4);
+/// How long a group may take to switch its expert map, which lies 10 s ahead when it is proposed.
+const SWITCH_LIMIT: Duration = Duration::from_secs(40);
+const SWITCH_POLL: Duration = Duration::from_millis(200);
+/// Steps that a group must run after the restart of an agent. They exceed what was permitted before.
+const STEPS_AFTER_RESTART: u64 = 1_500;
 /// How long a killed process stays away.
 const AWAY: Duration = Duration::from_millis(1_500);
 /// How long an entry instance may take to drain.
@@ -41,6 +48,8 @@
     Freeze,
     /// The log is out of service while calls that run at most once arrive.
     LogOutage,
+    /// A group of ranks switches its expert map, and the agent of one rank is killed after that.
+    MapSwitch,
 }
 
 impl FromStr for Fault {
@@ -51,7 +60,8 @@
             "kill" => Ok(Self::Kill),
             "freeze" => Ok(Self::Freeze),
             "log-outage" => Ok(Self::LogOutage),
-            _ => Err("allowed: kill, freeze or log-outage"),
+            "map-switch" => Ok(Self::MapSwitch),
+            _ => Err("allowed: kill, freeze, log-outage or map-switch"),
         }
     }
 }
@@ -92,20 +102,10 @@
 /// Runs the demo. It succeeds only when every promise held.
 pub(crate) fn run(fault: Fault, seed: u64) -> Result<(), StepError> {
     stop_all_on_interrupt().map_err(|error| StepError::Start("signal handling".into(), error))?;
-    let plan = Plan {
-        profile: Profile::Dev,
-        entries: 3,
-        engines: 4,
-        services: 3,
-        slots: 16,
-        // Slow enough that several streams are open on each engine when the fault comes.
-        engine_args: strings(&["--step-us", "6000"]),
-        service_args: strings(&["--delay-ms", "20"]),
-    };
-    let mut cluster = Cluster::start(&plan)?;
+    let mut cluster = Cluster::start(&plan(fault))?;
     let mut load = cluster.start_load(&load_args(fault, seed))?;
     let started = Instant::now();
-    eprintln!("xtask: load of {} s with seed {seed}", LOAD.as_secs());
+    eprintln!("xtask: load of {} s with seed {seed}", load_time(fault).as_secs());
     thread::sleep(FAULT_AT.saturating_sub(started.elapsed()));
     let gone = inject(fault, &mut cluster)?;
     let output = read_to_end(&mut load)?;
@@ -128,6 +128,27 @@
     checked
 }
 
+fn plan(fault: Fault) -> Plan {
+    // Slow enough that several streams are open on each engine when the fault comes.
+    let mut plan = Plan {
+        profile: Profile::Dev,
+        entries: 3,
+        engines: 4,
+        services: 3,
+        slots: 16,
+        agents_per_engine: 1,
+        engine_args: strings(&["--step-us", &GROUP_STEP_US.to_string()]),
+        service_args: strings(&["--delay-ms", "20"]),
+    };
+    if fault == Fault::MapSwitch {
+        // One engine hosts the ranks of all four agents and runs the streams of all.
+        (plan.engines, plan.agents_per_engine) = (1, 4);
+        plan.engine_args
+            .extend([format!("--ranks={}", plan.agents_per_engine), format!("--experts={GROUP_EXPERTS}")]);
+    }
+    plan
+}
+
 /// Checks the promises, and that the fault met work that it could harm.
 fn check(fault: Fault, counts: &Counts, cluster: &Cluster, gone: Option<&str>) -> Result<(), StepError> {
     if let Some(promise) = counts.broken_promise() {
@@ -143,6 +164,7 @@
         Fault::Mixed | Fault::Kill => retries,
         Fault::Freeze => counts.number("may_have_run"),
         Fault::LogOutage => counts.number("refused_not_run"),
+        Fault::MapSwitch => check_maps(cluster)?,
     };
     if harmed == 0 {
         return Err(StepError::Check("the fault met no request, so this run shows nothing".into()));
@@ -150,6 +172,54 @@
     Ok(())
 }
 
+/// Checks that no step ran on two maps. Returns the number of the map in use.
+fn check_maps(cluster: &Cluster) -> Result<u64, StepError> {
+    let group = group(cluster)?;
+    let number = |field: &str| group[field].as_u64().unwrap_or_default();
+    eprintln!(
+        "xtask: map {} at step {}; {} step times without a permit",
+        number("map"),
+        number("step"),
+        number("held_steps")
+    );
+    match number("map_conflicts") {
+        0 => Ok(number("map")),
+        conflicts => Err(StepError::Check(format!("{conflicts} steps had two expert maps"))),
+    }
+}
+
+/// Waits until the group runs a later map than `map`. Returns the state of the group.
+fn await_switch(cluster: &Cluster, map: u64) -> Result<Value, StepError> {
+    let deadline = Instant::now() + SWITCH_LIMIT;
+    loop {
+        let group = group(cluster)?;
+        if group["map"].as_u64() > Some(map) {
+            return Ok(group);
+        }
+        if Instant::now() >= deadline {
+            return Err(StepError::Check(format!("the group did not leave map {map}: {group}")));
+        }
+        thread::sleep(SWITCH_POLL);
+    }
+}
+
+/// Waits until the group has run `step`.
+fn await_step(cluster: &Cluster, step: u64) -> Result<(), StepError> {
+    let deadline = Instant::now() + SWITCH_LIMIT;
+    while group(cluster)?["step"].as_u64() < Some(step) {
+        if Instant::now() >= deadline {
+            return Err(StepError::Check(format!("the group did not reach step {step}")));
+        }
+        thread::sleep(SWITCH_POLL);
+    }
+    Ok(())
+}
+
+fn group(cluster: &Cluster) -> Result<Value, StepError> {
+    let text = cluster.call("GET", &format!("{}/group", cluster.engines[0].url), None)?;
+    serde_json::from_str(&text).map_err(|error| StepError::Check(format!("the state of the group: {error}")))
+}
+
 /// Brings the fault about and returns the name of the daemon that is gone after it.
 fn inject(fault: Fault, cluster: &mut Cluster) -> Result<Option<String>, StepError> {
     match fault {
@@ -191,6 +261,24 @@
             cluster.set_log_faults(&json!({ "lose_answers": 3 }))?;
             Ok(None)
         }
+        Fault::MapSwitch => {
+            let group = await_switch(cluster, 0)?;
+            let map = group["map"].as_u64().unwrap_or_default();
+            eprintln!(
+                "xtask: map {map} is in use at step {}, {} step times without a permit",
+                group["step"], group["held_steps"]
+            );
+            if group["held_steps"] != 0 {
+                return Err(StepError::Check("the switch stalled the group".into()));
+            }
+            eprintln!("xtask: kills the agent of a rank");
+            signal(&cluster.agents[1].process, Signal::KILL)?;
+            thread::sleep(AWAY);
+            cluster.restart_agent(1)?;
+            let step = group["step"].as_u64();
+            await_step(cluster, step.unwrap_or_default() + STEPS_AFTER_RESTART)?;
+            Ok(None)
+        }
     }
 }
 
@@ -198,12 +286,16 @@
     process.signal(signal).map_err(|error| StepError::Start(format!("signal {}", process.name()), error))
 }
 
+fn load_time(fault: Fault) -> Duration {
+    if fault == Fault::MapSwitch { SWITCH_LOAD } else { LOAD }
+}
+
 fn load_args(fault: Fault, seed: u64) -> Vec<String> {
     let mut args = strings(&[
         "--seed",
         &seed.to_string(),
         "--duration-ms",
-        &LOAD.as_millis().to_string(),
+        &load_time(fault).as_millis().to_string(),
         "--rate",
         "60",
         "--model",
@@ -216,7 +308,7 @@
     }
     // Each fault is met by the work that it can harm.
     let mix: &[&str] = match fault {
-        Fault::Mixed => &["--long-percent", "25"],
+        Fault::Mixed | Fault::MapSwitch => &["--long-percent", "25"],
         Fault::Kill => &["--look-up-percent", "10", "--keyed-percent", "10", "--long-percent", "30"],
         Fault::Freeze | Fault::LogOutage => &[
             "--look-up-percent",
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -27,7 +27,7 @@
         .descr("Formats, lints, documents and tests the workspace")
         .command("ci");
     let fault = bpaf::long("fault")
-        .help("Only this fault: kill, freeze or log-outage")
+        .help("Only this fault: kill, freeze, log-outage or map-switch")
         .argument("FAULT")
         .fallback(demo::Fault::Mixed);
     let demo = construct!(Task::Demo(fault, seed()))
