Let a drained agent refuse for a while before it stops

An idle agent stopped some 20 ms after it was told to drain. Entry instances learn of a drain from their next load poll, up to 2.6 s later, so a submission could reach a process that was gone. Its sender saw a lost connection, which means may-have-run: a call that is not idempotent failed, and others needed a retry from the budget, although the shutdown was graceful and nothing ran.

The scheduler now decides when a drain is over: nothing waits or runs, and the agent has refused for 4 s. Such a submission is refused with not-run and moves on.

--- a/crates/fuchsiabay-admission/src/scheduler/commands.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/commands.rs
@@ -1,6 +1,6 @@
 //! What changes the state of the scheduler from outside.
 
-use fuchsiabay_base::{Timestamp, invariant};
+use fuchsiabay_base::{Timestamp, invariant, mechanism};
 
 use super::{CancelOutcome, Scheduler, Suspect, Waiting};
 use crate::{Command, DropReason, Job, JobId, Limits, Refusal, RefusalCause, workspace_queue::Queued};
@@ -122,9 +122,12 @@
     }
 
     /// Refuses new work for good and hands waiting work back. Running work goes on.
-    pub fn drain(&mut self) {
-        self.draining = true;
+    pub fn drain(&mut self, now: Timestamp) {
+        self.draining_since.get_or_insert(now);
         self.drop_all(DropReason::Draining);
+        if !mechanism("drain-waits") {
+            self.commands.extend(self.running.keys().map(|id| Command::CancelRunning(*id)));
+        }
     }
 
     /// Records a crash of the backend server: everything in flight may have run and is suspected, and waiting
@@ -160,7 +163,7 @@
     }
 
     fn refusal(&self, now: Timestamp, job: &Job) -> Option<RefusalCause> {
-        if self.draining {
+        if self.draining_since.is_some() && mechanism("drain-refuses") {
             return Some(RefusalCause::Draining);
         }
         if self.down {
--- a/crates/fuchsiabay-admission/src/scheduler/mod.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/mod.rs
@@ -37,7 +37,7 @@
     /// no claim on the slots.
     virtual_clock: u64,
     rate: ServiceRate,
-    draining: bool,
+    draining_since: Option<Timestamp>,
     down: bool,
     next_arrival: u64,
     commands: VecDeque<Command>,
@@ -103,7 +103,7 @@
             running: BTreeMap::new(),
             virtual_clock: 0,
             rate: ServiceRate::default(),
-            draining: false,
+            draining_since: None,
             down: false,
             next_arrival: 0,
             commands: VecDeque::new(),
--- a/crates/fuchsiabay-admission/src/scheduler/queries.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/queries.rs
@@ -2,7 +2,7 @@
 
 use std::collections::BTreeMap;
 
-use fuchsiabay_base::Timestamp;
+use fuchsiabay_base::{Timestamp, mechanism};
 
 use super::Scheduler;
 use crate::{Class, Job, JobId, Limits, Load, Snapshot, WorkspaceSnapshot, workspace_queue::WorkspaceQueue};
@@ -13,6 +13,10 @@
 /// The headroom for the estimate of a single job, in percent of it. The length of one answer is often off by half.
 const SERVICE_HEADROOM_PERCENT: u64 = 200;
 
+/// How long a draining agent goes on refusing, in milliseconds. Entry instances learn of the drain from their next
+/// load poll, which comes after 2.6 s at most; the rest is for slow messages.
+const DRAIN_NOTICE_MS: u64 = 4_000;
+
 impl Scheduler {
     /// Returns the limits in force.
     pub fn limits(&self) -> &Limits {
@@ -24,6 +28,16 @@
         self.waiting.is_empty() && self.running.is_empty()
     }
 
+    /// Returns whether a drain is over, so that the process may stop.
+    ///
+    /// An idle agent stays up for `DRAIN_NOTICE_MS`: a submission that reaches it is refused with `not-run`, while
+    /// one that reaches a stopped process is lost and may have run as far as its sender knows.
+    pub fn may_stop(&self, now: Timestamp) -> bool {
+        let noticed = |since: Timestamp| since.plus_millis(DRAIN_NOTICE_MS) <= now;
+        self.is_idle()
+            && self.draining_since.is_some_and(|since| noticed(since) || !mechanism("drain-notice"))
+    }
+
     /// Returns whether the job is in flight.
     pub fn is_running(&self, id: JobId) -> bool {
         self.running.contains_key(&id)
@@ -87,7 +101,7 @@
                 + self.queued_tokens(Class::Short)
                 + self.queued_tokens(Class::Long),
             predicted_wait_ms: self.predicted_wait_ms(now, &probe()),
-            draining: self.draining,
+            draining: self.draining_since.is_some(),
             down: self.down,
         }
     }
--- a/crates/fuchsiabay-admission/tests/scheduler.rs
+++ b/crates/fuchsiabay-admission/tests/scheduler.rs
@@ -48,6 +48,7 @@
     At(u64),
     Limits(Limits),
     Drain,
+    MayStop(bool),
     Crash(&'static [u64]),
     Up,
     Expect(&'static [Command]),
@@ -79,7 +80,8 @@
                 scheduler.tick(now);
             }
             Limits(limits) => scheduler.apply_limits(now, *limits),
-            Drain => scheduler.drain(),
+            Drain => scheduler.drain(now),
+            MayStop(stop) => assert_eq!(scheduler.may_stop(now), *stop, "at {now:?}"),
             Crash(ids) => {
                 let suspects: Vec<_> =
                     scheduler.backend_crashed().iter().map(|suspect| suspect.id.0).collect();
@@ -182,6 +184,13 @@
         Expect(&[Command::Drop(JobId(3), DropReason::Draining)]),
         Refused(4, "a", RefusalCause::Draining), Finish(1, 10), Finish(2, 10), Expect(&[]),
     ];
+    // Guards against an agent that stops before the entry instances know of its drain, or with work in flight.
+    drained_agent_stays_for_a_while: LIMITS, [
+        MayStop(false), Drain, MayStop(false), At(3_999), MayStop(false), At(4_000), MayStop(true),
+    ];
+    drained_agent_waits_for_running_work: LIMITS, [
+        Short(1, "a"), Expect(&[START_1]), Drain, At(4_000), MayStop(false), Drain, Finish(1, 10), MayStop(true),
+    ];
     // Guards against a crash that is attributed to a job which never started.
     crash_suspects_what_ran: LIMITS, [
         Short(1, "a"), Short(2, "a"), Short(3, "a"), Expect(&[START_1, START_2]), Crash(&[1, 2]),
--- a/crates/fuchsiabay-agent/src/agent/commands.rs
+++ b/crates/fuchsiabay-agent/src/agent/commands.rs
@@ -137,7 +137,7 @@
 
     /// Refuses new work for good, hands waiting work back, and lets running work end.
     pub fn drain(self: &Arc<Self>) {
-        self.schedule(|scheduler, _| scheduler.drain());
+        self.schedule(|scheduler, now| scheduler.drain(now));
     }
 
     /// Drains because the list says that this instance is leaving.
--- a/crates/fuchsiabay-agent/src/agent/queries.rs
+++ b/crates/fuchsiabay-agent/src/agent/queries.rs
@@ -24,11 +24,16 @@
         }
     }
 
-    /// Returns whether no attempt is open and nothing waits for the log, so that the process may stop.
+    /// Returns whether no attempt is open and nothing waits for the log.
     pub fn is_idle(&self) -> bool {
         self.attempts.len() == 0 && self.claims.is_idle()
     }
 
+    /// Returns whether a drain is over, so that the process may stop.
+    pub(crate) fn may_stop(&self) -> bool {
+        self.is_idle() && self.scheduler.lock().may_stop(monotonic_now())
+    }
+
     /// Returns whether the scheduler counts the job as running.
     pub(crate) fn holds_slot(&self, job: JobId) -> bool {
         self.scheduler.lock().is_running(job)
--- a/crates/fuchsiabay-agent/src/daemon.rs
+++ b/crates/fuchsiabay-agent/src/daemon.rs
@@ -90,7 +90,7 @@
     let deadline = monotonic_now().plus_millis(drain_ms);
     agent.drain();
     let idle = async {
-        while !agent.is_idle() {
+        while !agent.may_stop() {
             sleep_until(monotonic_now().plus_millis(DRAIN_POLL_MS)).await;
         }
         // The last ends are on their way to the sockets.
