Run drains and departures of backend servers on virtual time

The promise leaving-and-drain runs two entry instances (router, request machines) and three backend servers (schedulers) through departures by a lagging list or an early notice, rejoins with a new generation, drains of entry instances, crashes and slow messages. The check sees only what servers are sent and start and what callers receive. The retry budget is empty, because a drain must not depend on it.

Six mechanisms can be turned off.

--- a/crates/fuchsiabay-prove/src/mechanism.rs
+++ b/crates/fuchsiabay-prove/src/mechanism.rs
@@ -63,6 +63,24 @@
     mechanism("total-tokens", "off: the end of an attempt ends the answer", Promise::WholeAnswer),
     mechanism("contiguous-tokens", "off: tokens are appended after a gap", Promise::WholeAnswer),
     mechanism("drop-late-frames", "off: frames of other attempts are taken", Promise::WholeAnswer),
+    mechanism("drain-refuses", "off: a draining agent takes new work", Promise::LeavingAndDrain),
+    mechanism("drain-waits", "off: a drain cancels running work", Promise::LeavingAndDrain),
+    mechanism(
+        "drain-notice",
+        "off: a drained agent stops before the entry instances know of the drain",
+        Promise::LeavingAndDrain,
+    ),
+    mechanism("skip-draining", "off: draining servers are picked", Promise::LeavingAndDrain),
+    mechanism(
+        "free-hand-back",
+        "off: work that a drain hands back is retried only within the retry budget",
+        Promise::LeavingAndDrain,
+    ),
+    mechanism(
+        "generation-check",
+        "off: a load report of an earlier life of a server is applied",
+        Promise::LeavingAndDrain,
+    ),
 ];
 
 const fn mechanism(name: &'static str, description: &'static str, promise: Promise) -> Mechanism {
--- a/crates/fuchsiabay-prove/src/promise.rs
+++ b/crates/fuchsiabay-prove/src/promise.rs
@@ -16,11 +16,14 @@
     Config,
     /// A caller receives its own answer, and an incomplete one never passes as complete.
     WholeAnswer,
+    /// A leaving server gets no new work after a few seconds, and a drain cuts off no request.
+    LeavingAndDrain,
 }
 
 impl Promise {
     /// Every promise, in the order of a run.
-    pub const ALL: &[Self] = &[Self::AtMostOnce, Self::NotRunIsTrue, Self::Config, Self::WholeAnswer];
+    pub const ALL: &[Self] =
+        &[Self::AtMostOnce, Self::NotRunIsTrue, Self::Config, Self::WholeAnswer, Self::LeavingAndDrain];
 
     /// Returns the name on the command line.
     pub const fn name(self) -> &'static str {
@@ -29,6 +32,7 @@
             Self::NotRunIsTrue => "not-run-is-true",
             Self::Config => "config",
             Self::WholeAnswer => "whole-answer",
+            Self::LeavingAndDrain => "leaving-and-drain",
         }
     }
 
@@ -45,6 +49,9 @@
             Self::WholeAnswer => {
                 "a caller receives the complete answer to its own request, or a visibly incomplete one"
             }
+            Self::LeavingAndDrain => {
+                "a leaving server gets no new work after a few seconds, and a drain cuts off no request in flight"
+            }
         }
     }
 }
--- a/crates/fuchsiabay-prove/src/script.rs
+++ b/crates/fuchsiabay-prove/src/script.rs
@@ -4,8 +4,8 @@
 
 use crate::{
     Outcome, Promise, Step, claims_script::ClaimAction, claims_world::ClaimsWorld,
-    config_script::ConfigAction, config_world::ConfigWorld, stream_script::StreamAction,
-    stream_world::StreamWorld,
+    config_script::ConfigAction, config_world::ConfigWorld, leaving_script::LeavingAction,
+    leaving_world::LeavingWorld, stream_script::StreamAction, stream_world::StreamWorld,
 };
 
 /// The actions of a case: the part of a trace that can be read and shortened.
@@ -19,6 +19,8 @@
     Config(Vec<Step<ConfigAction>>),
     /// Streamed answers of four backend servers.
     Streams(Vec<Step<StreamAction>>),
+    /// Three backend servers that leave and return behind two entry instances.
+    Leaving(Vec<Step<LeavingAction>>),
 }
 
 impl Script {
@@ -28,6 +30,7 @@
             Promise::AtMostOnce | Promise::NotRunIsTrue => Self::Claims(ClaimAction::script(rng)),
             Promise::Config => Self::Config(ConfigAction::script(rng)),
             Promise::WholeAnswer => Self::Streams(StreamAction::script(rng)),
+            Promise::LeavingAndDrain => Self::Leaving(LeavingAction::script(rng)),
         }
     }
 
@@ -37,6 +40,7 @@
             Self::Claims(steps) => ClaimsWorld::run(steps, promise, seed),
             Self::Config(steps) => ConfigWorld::run(steps, seed),
             Self::Streams(steps) => StreamWorld::run(steps, seed),
+            Self::Leaving(steps) => LeavingWorld::run(steps, seed),
         }
     }
 
@@ -46,6 +50,7 @@
             Self::Claims(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
             Self::Config(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
             Self::Streams(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
+            Self::Leaving(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
         }
     }
 
@@ -55,6 +60,7 @@
             Self::Claims(steps) => steps.len(),
             Self::Config(steps) => steps.len(),
             Self::Streams(steps) => steps.len(),
+            Self::Leaving(steps) => steps.len(),
         }
     }
 
@@ -65,6 +71,7 @@
             Self::Claims(steps) => drop(steps.remove(i)),
             Self::Config(steps) => drop(steps.remove(i)),
             Self::Streams(steps) => drop(steps.remove(i)),
+            Self::Leaving(steps) => drop(steps.remove(i)),
         }
         script
     }
--- a/crates/fuchsiabay-prove/tests/runs.rs
+++ b/crates/fuchsiabay-prove/tests/runs.rs
@@ -25,6 +25,7 @@
     not_run_is_true: "not-run-is-true";
     config: "config";
     whole_answer: "whole-answer";
+    leaving_and_drain: "leaving-and-drain";
 }
 
 fn traces() -> Vec<PathBuf> {
