--- a/crates/fuchsiabay-bench/src/cli.rs
+++ b/crates/fuchsiabay-bench/src/cli.rs
@@ -5,8 +5,7 @@
 use bpaf::{OptionParser, Parser, construct, long, positional};
 
 use crate::{
-    Engine, EngineSettings, List, LoadSettings, Log, LogSettings, Server, Service, Target, Weights,
-    policy_report, run_load,
+    Engine, EngineSettings, List, LoadSettings, Log, LogSettings, Server, Service, Target, Weights, run_load,
 };
 
 #[derive(Clone, Debug)]
@@ -18,7 +17,6 @@
     Weights { listen: SocketAddr, bytes_per_second: u64, expert_len: usize },
     Load(LoadSettings),
     Call { method: String, url: String, body: Option<String> },
-    Policy { seed: u64 },
 }
 
 /// Runs the command that the arguments name.
@@ -36,24 +34,22 @@
 async fn execute(command: Command) -> Result<ExitCode, String> {
     match command {
         Command::Engine(listen, settings) => {
-            announce(Server::start(listen, Engine::handler(settings)).await).await
+            announce(Server::start_at(listen, Engine::handler(settings)).await).await
         }
         Command::Service { listen, delay_ms } => {
-            announce(Server::start(listen, Service::handler(delay_ms)).await).await
+            announce(Server::start_at(listen, Service::handler(delay_ms)).await).await
+        }
+        Command::Log(listen, settings) => {
+            announce(Server::start_at(listen, Log::handler(settings)).await).await
         }
-        Command::Log(listen, settings) => announce(Server::start(listen, Log::handler(settings)).await).await,
         Command::List { listen, lag_ms } => {
-            announce(Server::start(listen, List::handler(lag_ms)).await).await
+            announce(Server::start_at(listen, List::handler(lag_ms)).await).await
         }
         Command::Weights { listen, bytes_per_second, expert_len } => {
-            announce(Server::start(listen, Weights::handler(bytes_per_second, expert_len)).await).await
+            announce(Server::start_at(listen, Weights::handler(bytes_per_second, expert_len)).await).await
         }
         Command::Load(settings) => load(settings).await,
         Command::Call { method, url, body } => call(&method, &url, body).await,
-        Command::Policy { seed } => {
-            println!("{}", policy_report(seed));
-            Ok(ExitCode::SUCCESS)
-        }
     }
 }
 
@@ -101,12 +97,7 @@
         .descr("Sends an open load and prints a report as JSON")
         .command("load");
     let call = call_options().to_options().descr("Sends one request and prints the response").command("call");
-    let seed = number("seed", "Determines arrivals and draws", 1);
-    let policy = construct!(Command::Policy { seed })
-        .to_options()
-        .descr("Measures the policies on virtual time")
-        .command("policy");
-    construct!([engine, service, log, list, weights, load, call, policy])
+    construct!([engine, service, log, list, weights, load, call])
         .to_options()
         .descr("Stand-ins of the platform and a load generator, for tests and measurements only")
 }
@@ -160,6 +151,8 @@
     let crash =
         long("crash").help("What a crash does: exit or abort").argument("MODE").fallback(defaults.crash);
     let ranks = number("ranks", "Ranks of the group that the engine hosts; 0 for no group", defaults.ranks);
+    let experts = number("experts", "Experts of the group", defaults.experts);
+    let weights_us = number("weights-us", "Time to load one expert, in microseconds", defaults.weights_us);
     construct!(EngineSettings {
         slots,
         step_us,
@@ -173,6 +166,8 @@
         crash_marker,
         crash,
         ranks,
+        experts,
+        weights_us,
     })
 }
 
--- a/crates/fuchsiabay-bench/tests/stand_ins.rs
+++ b/crates/fuchsiabay-bench/tests/stand_ins.rs
@@ -1,7 +1,5 @@
 //! The stand-ins keep the protocols of docs/platform.md.
 
-use std::net::SocketAddr;
-
 use fuchsiabay_bench::{
     Answer, CrashMode, Engine, EngineSettings, Fencing, List, Log, LogSettings, Server, Service, Weights,
 };
@@ -18,8 +16,7 @@
 
 fn check(handler: impl Handler, steps: Vec<Step>) {
     async_global_executor::block_on(async {
-        let server =
-            Server::start(SocketAddr::from(([127, 0, 0, 1], 0)), handler).await.expect("a free port");
+        let server = Server::start(0, handler).await.expect("a free port");
         let client = Client::new(trillium_smol::ClientConfig::new());
         for (method, path, body, expected, part) in steps {
             let mut conn = client
@@ -123,6 +120,10 @@
         step("POST", "/group/permit", r#"{"rank":0,"map":1,"through_step":5}"#, 409, ""),
         step("POST", "/group/permit", r#"{"rank":2,"map":1,"through_step":5}"#, 409, ""),
         step("GET", "/group", "", 200, r#""step":0"#),
+        step("POST", "/group/weights", r#"{"map":1,"rank":1,"slots":[[[0,10000]],[[1,10000]]]}"#, 409, ""),
+        step("POST", "/group/weights", r#"{"map":1,"rank":0,"slots":[[[0,10000]],[[1,10000]]]}"#, 200, r#""loaded":2"#),
+        step("POST", "/group/weights", r#"{"map":2,"rank":0,"slots":[[[0,10000]]]}"#, 200, r#""loaded":0"#),
+        step("GET", "/group/load", "", 200, r#""rank_us":[1000000,1000000]"#),
     ];
     unknown_streams_are_not_found: Engine::handler(fast()) => [
         step("POST", "/cancel/a", "", 404, ""),
--- a/crates/fuchsiabay-entry/src/call.rs
+++ b/crates/fuchsiabay-entry/src/call.rs
@@ -5,7 +5,6 @@
     time::{Duration, Instant},
 };
 
-use async_global_executor::Task;
 use fuchsiabay_base::{AttemptId, Timestamp, Verdict};
 use fuchsiabay_routing::{Command, Event, Failure, FailureKind, RequestMachine};
 use fuchsiabay_runtime::{AttemptEvent, AttemptStream, CallError, monotonic_now, sleep_until, spawn};
@@ -29,6 +28,8 @@
 const CANCEL_TIMEOUT_MS: u64 = 5_000;
 /// A server is skipped for this many milliseconds after a failure, unless it said for how long.
 const SKIP_AFTER_FAILURE_MS: u64 = 1_000;
+/// Fewer tokens of an attempt do not tell the pace of its server.
+const MIN_TOKENS_FOR_PACE: u128 = 8;
 /// Text that is ready at the same time is written together up to this many bytes.
 const WRITE_BYTES: usize = 4_096;
 
@@ -43,15 +44,12 @@
     Failed(Failure),
 }
 
-type Submission = Task<Result<SubmitReply, CallError>>;
-
 /// A request in progress. Dropping it before its end cancels the attempt in flight.
 pub(crate) struct Call<C: ConfigSource> {
     dispatcher: Dispatcher<C>,
     machine: RequestMachine<Target>,
     stream: Option<AttemptStream>,
     target: Option<Target>,
-    submission: Option<Submission>,
     // A command that waits for text to be written first.
     pending: Option<Command<Target>>,
     unwritten: Option<usize>,
@@ -59,7 +57,8 @@
     deadline: Timer,
     received_at: Instant,
     last_tokens_at: Option<Instant>,
-    attempt_from: (Instant, u32),
+    // When the first tokens of the attempt arrived and how many there were then.
+    attempt_from: Option<(Instant, u32)>,
     written_tokens: u32,
     ran: bool,
     _open: OpenRequest<C>,
@@ -83,14 +82,13 @@
             machine,
             stream: None,
             target: None,
-            submission: None,
             pending: None,
             unwritten: None,
             outcome: None,
             deadline,
             received_at,
             last_tokens_at: None,
-            attempt_from: (received_at, 0),
+            attempt_from: None,
             written_tokens: 0,
             ran: false,
             _open: entry.open_request(),
@@ -168,7 +166,7 @@
                     self.cancel_and_wait(attempt, &target).await;
                 }
                 Command::Cancel { attempt, target, awaited: false } => {
-                    cancel(attempt, target, self.submission.take());
+                    cancel(attempt, target);
                 }
                 Command::Write { from } => self.unwritten = Some(self.unwritten.unwrap_or(from)),
                 Command::ClearSuspicion => self.dispatcher.clear_suspicion(),
@@ -189,14 +187,10 @@
         }
         self.stream = Some(peer.open_attempt(attempt));
         self.target = Some(Arc::clone(&target));
-        self.attempt_from = (Instant::now(), self.tokens());
+        self.attempt_from = None;
         let req = self.job().submission(attempt, solo, resume_from, self.text(), now);
         let deadline = self.job().deadline.min(now.plus_millis(SUBMIT_TIMEOUT_MS));
-        // A task of its own, so that a caller that goes away cannot cut the submission off halfway: the cancellation
-        // waits for it.
-        let call = async move { peer.call::<SubmitRequest, SubmitReply>("submit", &req, deadline).await };
-        let reply = self.submission.insert(spawn(call)).await;
-        self.submission = None;
+        let reply = peer.call::<SubmitRequest, SubmitReply>("submit", &req, deadline).await;
         self.take_reply(attempt, &target, reply);
     }
 
@@ -277,7 +271,12 @@
 
     fn take_frame(&mut self, frame: AttemptEvent) {
         match frame {
-            AttemptEvent::Tokens(tokens) => self.handle(Event::Tokens(&tokens)),
+            AttemptEvent::Tokens(tokens) => {
+                self.handle(Event::Tokens(&tokens));
+                if self.attempt_from.is_none() {
+                    self.attempt_from = Some((Instant::now(), self.tokens()));
+                }
+            }
             AttemptEvent::End(end) => {
                 match (&self.target, end.error) {
                     (Some(target), Some(AttemptError::BackendLost | AttemptError::Draining)) => {
@@ -337,10 +336,12 @@
     }
 
     fn observe_pace(&self, target: &Target) {
-        let (from, position) = self.attempt_from;
+        let Some((from, position)) = self.attempt_from else {
+            return;
+        };
         let tokens = u128::from(self.tokens() - position);
-        // Short answers measure the wait and not the pace.
-        if tokens >= 8 {
+        // A few tokens measure the moment and not the pace.
+        if tokens >= MIN_TOKENS_FOR_PACE {
             target.observe_pace((from.elapsed().as_micros() / tokens) as u64);
         }
     }
@@ -364,7 +365,7 @@
         }
         while let Some(command) = self.pending.take().or_else(|| self.machine.next_command()) {
             match command {
-                Command::Cancel { attempt, target, .. } => cancel(attempt, target, self.submission.take()),
+                Command::Cancel { attempt, target, .. } => cancel(attempt, target),
                 Command::Fail(Failure { kind: FailureKind::CallerGone, verdict, .. }) => {
                     self.ran = verdict != Verdict::NotRun;
                     self.dispatcher.entry.counters.count_verdict(verdict);
@@ -380,13 +381,10 @@
     }
 }
 
-/// Orders the agent to cancel, after the submission has arrived there.
-fn cancel(attempt: AttemptId, target: Target, submission: Option<Submission>) {
+/// Orders the agent to cancel. An order that overtakes its submission is remembered by the agent.
+fn cancel(attempt: AttemptId, target: Target) {
     target.link().attempt_opened();
     let order = async move {
-        if let Some(submission) = submission {
-            let _ = submission.await;
-        }
         let deadline = monotonic_now().plus_millis(CANCEL_TIMEOUT_MS);
         let reply = target.link().peer().call::<AttemptId, CancelReply>("cancel", &attempt, deadline).await;
         if let Err(error) = reply {
--- a/crates/fuchsiabay-measure/src/fleet/managed.rs
+++ b/crates/fuchsiabay-measure/src/fleet/managed.rs
@@ -149,6 +149,7 @@
                     self.places.remove(&(request as usize));
                     scene.end(request as usize, Fate::Lost);
                 }
+                // The fleet cancels nothing.
                 Command::CancelRunning(_) => {}
                 Command::Pause(JobId(request)) => scene.pause(request as usize),
                 Command::Resume(JobId(request)) => scene.resume(request as usize),
--- a/crates/fuchsiabay-prove/src/promise.rs
+++ b/crates/fuchsiabay-prove/src/promise.rs
@@ -14,6 +14,12 @@
     NotRunIsTrue,
     /// An accepted configuration is in force everywhere within 6 s and never reverts.
     Config,
+    /// A request that crashes its servers is refused, and harmless ones are served.
+    CrashContainment,
+    /// No order is sent past its deadline or replaces a newer one.
+    Fencing,
+    /// All ranks of a group use the same expert map in every step.
+    ExpertMap,
     /// A caller receives its own answer, and an incomplete one never passes as complete.
     WholeAnswer,
     /// A leaving server gets no new work after a few seconds, and a drain cuts off no request.
@@ -22,8 +28,16 @@
 
 impl Promise {
     /// Every promise, in the order of a run.
-    pub const ALL: &[Self] =
-        &[Self::AtMostOnce, Self::NotRunIsTrue, Self::Config, Self::WholeAnswer, Self::LeavingAndDrain];
+    pub const ALL: &[Self] = &[
+        Self::AtMostOnce,
+        Self::NotRunIsTrue,
+        Self::Config,
+        Self::CrashContainment,
+        Self::Fencing,
+        Self::ExpertMap,
+        Self::WholeAnswer,
+        Self::LeavingAndDrain,
+    ];
 
     /// Returns the name on the command line.
     pub const fn name(self) -> &'static str {
@@ -31,6 +45,9 @@
             Self::AtMostOnce => "at-most-once",
             Self::NotRunIsTrue => "not-run-is-true",
             Self::Config => "config",
+            Self::CrashContainment => "crash-containment",
+            Self::Fencing => "fencing",
+            Self::ExpertMap => "expert-map",
             Self::WholeAnswer => "whole-answer",
             Self::LeavingAndDrain => "leaving-and-drain",
         }
@@ -46,6 +63,11 @@
             Self::Config => {
                 "an accepted configuration is in force everywhere within 6 s and never reverts, with one preset"
             }
+            Self::CrashContainment => {
+                "a request that crashes its servers is refused everywhere, and harmless ones are served"
+            }
+            Self::Fencing => "no order reaches an engine past its deadline or replaces a newer one",
+            Self::ExpertMap => "all ranks of a group use the same expert map in every step",
             Self::WholeAnswer => {
                 "a caller receives the complete answer to its own request, or a visibly incomplete one"
             }
