--- a/crates/fuchsiabay-prove/src/promise.rs
+++ b/crates/fuchsiabay-prove/src/promise.rs
@@ -22,8 +22,10 @@
     ExpertMap,
     /// A caller receives its own answer, and an incomplete one never passes as complete.
     WholeAnswer,
-    /// A leaving backend server gets no new work and finishes what it runs.
+    /// A leaving server gets no new work after a few seconds, and a drain cuts off no request.
     LeavingAndDrain,
+    /// Maintenance cuts off no call that runs at most once.
+    KeyedDrain,
 }
 
 impl Promise {
@@ -37,6 +39,7 @@
         Self::ExpertMap,
         Self::WholeAnswer,
         Self::LeavingAndDrain,
+        Self::KeyedDrain,
     ];
 
     /// Returns the name on the command line.
@@ -50,6 +53,7 @@
             Self::ExpertMap => "expert-map",
             Self::WholeAnswer => "whole-answer",
             Self::LeavingAndDrain => "leaving-and-drain",
+            Self::KeyedDrain => "keyed-drain",
         }
     }
 
@@ -68,10 +72,15 @@
             }
             Self::Fencing => "no order reaches an engine past its deadline or replaces a newer one",
             Self::ExpertMap => "all ranks of a group use the same expert map in every step",
-            Self::LeavingAndDrain => "a leaving server starts no new work, and no call is cut off",
+            Self::KeyedDrain => {
+                "a leaving server starts no new call that runs at most once, and none is cut off"
+            }
             Self::WholeAnswer => {
                 "a caller receives the complete answer to its own request, or a visibly incomplete one"
             }
+            Self::LeavingAndDrain => {
+                "a leaving server gets no new work after a few seconds, and a drain cuts off no request in flight"
+            }
         }
     }
 }
--- a/crates/fuchsiabay-prove/src/script.rs
+++ b/crates/fuchsiabay-prove/src/script.rs
@@ -5,8 +5,9 @@
 use crate::{
     Outcome, Promise, Step, claims_script::ClaimAction, claims_world::ClaimsWorld,
     config_script::ConfigAction, config_world::ConfigWorld, crash_script::CrashAction,
-    crash_world::CrashWorld, drain_script::DrainAction, drain_world::DrainWorld, map_script::MapAction,
-    map_world::MapWorld, order_script::OrderAction, order_world::OrderWorld, stream_script::StreamAction,
+    crash_world::CrashWorld, drain_script::DrainAction, drain_world::DrainWorld,
+    leaving_script::LeavingAction, leaving_world::LeavingWorld, map_script::MapAction, map_world::MapWorld,
+    order_script::OrderAction, order_world::OrderWorld, stream_script::StreamAction,
     stream_world::StreamWorld,
 };
 
@@ -29,6 +30,8 @@
     Maps(Vec<Step<MapAction>>),
     /// Streamed answers of four backend servers.
     Streams(Vec<Step<StreamAction>>),
+    /// Three backend servers that leave and return behind two entry instances.
+    Leaving(Vec<Step<LeavingAction>>),
 }
 
 impl Script {
@@ -39,9 +42,10 @@
             Promise::Config => Self::Config(ConfigAction::script(rng)),
             Promise::CrashContainment => Self::Crashes(CrashAction::script(rng)),
             Promise::Fencing => Self::Orders(OrderAction::script(rng)),
-            Promise::LeavingAndDrain => Self::Drains(DrainAction::script(rng)),
+            Promise::KeyedDrain => Self::Drains(DrainAction::script(rng)),
             Promise::ExpertMap => Self::Maps(MapAction::script(rng)),
             Promise::WholeAnswer => Self::Streams(StreamAction::script(rng)),
+            Promise::LeavingAndDrain => Self::Leaving(LeavingAction::script(rng)),
         }
     }
 
@@ -55,6 +59,7 @@
             Self::Drains(steps) => DrainWorld::run(steps, seed),
             Self::Maps(steps) => MapWorld::run(steps, seed),
             Self::Streams(steps) => StreamWorld::run(steps, seed),
+            Self::Leaving(steps) => LeavingWorld::run(steps, seed),
         }
     }
 
@@ -68,6 +73,7 @@
             Self::Drains(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
             Self::Maps(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
             Self::Streams(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
+            Self::Leaving(steps) => steps.iter().filter(|step| step.action.is_fault()).count(),
         }
     }
 
@@ -81,6 +87,7 @@
             Self::Drains(steps) => steps.len(),
             Self::Maps(steps) => steps.len(),
             Self::Streams(steps) => steps.len(),
+            Self::Leaving(steps) => steps.len(),
         }
     }
 
@@ -95,6 +102,7 @@
             Self::Drains(steps) => drop(steps.remove(i)),
             Self::Maps(steps) => drop(steps.remove(i)),
             Self::Streams(steps) => drop(steps.remove(i)),
+            Self::Leaving(steps) => drop(steps.remove(i)),
         }
         script
     }
--- a/crates/fuchsiabay-prove/tests/runs.rs
+++ b/crates/fuchsiabay-prove/tests/runs.rs
@@ -27,8 +27,9 @@
     crash_containment: "crash-containment";
     fencing: "fencing";
     expert_map: "expert-map";
-    leaving_and_drain: "leaving-and-drain";
+    keyed_drain: "keyed-drain";
     whole_answer: "whole-answer";
+    leaving_and_drain: "leaving-and-drain";
 }
 
 fn traces() -> Vec<PathBuf> {
