Let the agents of the randomised runs name themselves

The runs of the promise expert-map named each new life of an agent through a coordinator that knew of it at once. The agents now name themselves through the Proposer, so that generations are late, collide and repeat as they do between processes, and aborts come from agents and coordinators alike.

--- a/crates/fuchsiabay-prove/src/map_world.rs
+++ b/crates/fuchsiabay-prove/src/map_world.rs
@@ -1,9 +1,12 @@
-//! One group of ranks in lock-step, an agent beside each, two coordinators and one log.
+//! One group of ranks in lock-step, an agent beside each, two coordinators and one log. The agents name themselves; the
+//! coordinators propose switches at bad moments, give them up and repeat the state.
 
-use std::{collections::BTreeMap, sync::Arc};
+use std::sync::Arc;
 
 use fuchsiabay_base::{Generation, InstanceId, Timestamp, WriterId};
-use fuchsiabay_experts::{ExpertMap, MapLedger, MapRecord, MapVersion, Permit, Rank, StepGate};
+use fuchsiabay_experts::{
+    ExpertMap, MapLedger, MapRecord, MapVersion, Pace, Permit, Proposer, Rank, StepGate,
+};
 
 use crate::{
     Outcome, Step,
@@ -24,6 +27,8 @@
 const ABORT_MS: u64 = 4_000;
 /// Steps of one permit.
 const AHEAD: u64 = 20;
+/// Steps to the hold step of a switch that an agent proposes.
+const HOLD_LEAD: u64 = 100;
 
 #[derive(Clone, Debug)]
 enum Event {
@@ -45,6 +50,7 @@
     alive: bool,
     ledger: Option<MapLedger>,
     gate: StepGate,
+    proposer: Proposer,
     loading: Option<MapVersion>,
     inbox: Vec<Event>,
     frozen_until: Timestamp,
@@ -220,6 +226,7 @@
                 for record in &records {
                     ledger.apply(record.offset, &record.data);
                 }
+                self.agents[agent].observe(self.schedule.now());
             }
             Event::Loaded { map, .. } => self.agents[agent].gate.weights_loaded(map),
             _ => {}
@@ -233,7 +240,8 @@
             return;
         }
         let from = self.agents[agent].ledger.as_ref().map_or(0, MapLedger::next_offset);
-        let (_, records) = self.log.read(now, from);
+        let (first, records) = self.log.read(now, from);
+        self.agents[agent].ledger.get_or_insert_with(|| MapLedger::begin(first));
         if !records.is_empty() {
             let delay = self.delay(agent);
             self.schedule.after(delay, Event::Page { agent, life, records });
@@ -260,6 +268,10 @@
         {
             self.schedule.after(delay, Event::Append(vote));
         }
+        let log_down = self.log.is_down(now) || now < state.cut_until;
+        if let Some(record) = (!log_down).then(|| state.proposer.propose(now, ledger)).flatten() {
+            self.schedule.after(delay, Event::Append(record));
+        }
         let through = self.ranks[agent].permit.map_or(0, |permit| permit.through);
         if through >= self.next_step + AHEAD / 2 {
             return;
@@ -285,25 +297,19 @@
         self.schedule.after(takes_ms, Event::Append(record));
     }
 
-    /// Reads the log, names the agents of the group, gives up switches that take too long, and repeats the state.
+    /// Reads the log, gives up switches that take too long, and repeats the state.
     fn coordinate(&mut self, index: usize) {
         let now = self.schedule.now();
         if self.log.is_down(now) {
             return;
         }
         let delay = self.rng.u64(1..100);
-        let writers: BTreeMap<Rank, WriterId> =
-            (0..RANKS).map(|agent| (Rank(agent as u16), writer(agent, self.agents[agent].life))).collect();
         let coordinator = &mut self.coordinators[index];
         let ledger = coordinator.ledger.get_or_insert_with(|| MapLedger::begin(0));
         let (_, records) = self.log.read(now, ledger.next_offset());
         for record in &records {
             ledger.apply(record.offset, &record.data);
         }
-        if ledger.is_complete() && *ledger.ranks() != writers {
-            let record = MapRecord::Generation { generation: ledger.generation() + 1, ranks: writers };
-            return self.schedule.after(delay, Event::Append(record));
-        }
         let Some(pending) = ledger.pending() else {
             coordinator.pending_since = None;
             if now >= coordinator.snapshot_at
@@ -343,12 +349,25 @@
 }
 
 impl Agent {
+    fn observe(&mut self, now: Timestamp) {
+        if let Some(ledger) = &self.ledger {
+            self.proposer.observe(now, ledger);
+        }
+    }
+
     fn new(agent: usize, life: u64) -> Self {
         Self {
             life,
             alive: true,
             ledger: None,
             gate: StepGate::new(writer(agent, life)),
+            proposer: Proposer::new(
+                writer(agent, life),
+                vec![Rank(agent as u16)],
+                RANKS,
+                Pace::new(AHEAD, HOLD_LEAD),
+                START,
+            ),
             loading: None,
             inbox: Vec::new(),
             frozen_until: Timestamp::ZERO,
