Lose connections, freeze servers and repeat parts of resumed answers

The cases of whole-answer lacked connections that are lost while the server streams on, servers that are paused and go on late, and servers that repeat a part of an answer when they resume it. The mechanism strip-repeats can be turned off: a repeated part is then appended as a whole.

--- a/crates/fuchsiabay-prove/src/mechanism.rs
+++ b/crates/fuchsiabay-prove/src/mechanism.rs
@@ -70,6 +70,11 @@
     mechanism("total-tokens", "off: the end of an attempt ends the answer", Promise::WholeAnswer),
     mechanism("contiguous-tokens", "off: tokens are appended after a gap", Promise::WholeAnswer),
     mechanism("drop-late-frames", "off: frames of other attempts are taken", Promise::WholeAnswer),
+    mechanism(
+        "strip-repeats",
+        "off: a frame that repeats the end of the answer is appended as a whole",
+        Promise::WholeAnswer,
+    ),
     mechanism("drain-refuses", "off: a draining agent takes new work", Promise::LeavingAndDrain),
     mechanism("drain-waits", "off: a drain cancels running work", Promise::LeavingAndDrain),
     mechanism(
--- a/crates/fuchsiabay-prove/src/stream_script.rs
+++ b/crates/fuchsiabay-prove/src/stream_script.rs
@@ -65,6 +65,27 @@
         /// How long.
         ms: u64,
     },
+    /// The connections to a server are lost, and it streams on.
+    LoseConnections {
+        /// The server.
+        server: usize,
+    },
+    /// A server is paused. Its frames arrive when it goes on.
+    Freeze {
+        /// The server.
+        server: usize,
+        /// How long.
+        ms: u64,
+    },
+    /// A server repeats a part of the answer when it resumes one.
+    RepeatOnResume {
+        /// The server.
+        server: usize,
+        /// How long.
+        ms: u64,
+        /// From which token on; the first one if the answer resumes before it.
+        from: u32,
+    },
     /// A server ends its answers early and states the true total.
     EndEarly {
         /// The server.
@@ -97,6 +118,9 @@
         if faults > 0 && rng.u8(0..5) == 0 {
             Self::mixed_answers(rng, &mut steps);
         }
+        if faults > 0 && rng.u8(0..5) == 0 {
+            Self::repeated_parts(rng, &mut steps);
+        }
         steps.sort_by_key(|step| step.at_ms);
         steps
     }
@@ -113,16 +137,33 @@
         }
     }
 
+    /// Answers move to other servers, which repeat what the callers already have.
+    fn repeated_parts(rng: &mut fastrand::Rng, steps: &mut Vec<Step<Self>>) {
+        let at_ms = rng.u64(0..SCRIPT_MS);
+        for server in 0..SERVERS {
+            steps.push(Step { at_ms, action: Self::RepeatOnResume { server, ms: 8_000, from: 0 } });
+            let lost_at = at_ms + rng.u64(50..3_000);
+            steps.push(Step { at_ms: lost_at, action: Self::LoseConnections { server } });
+        }
+        for _ in 0..4 {
+            let action = Self::Call { tokens: rng.u32(20..300), deadline_ms: 60_000 };
+            steps.push(Step { at_ms: at_ms + rng.u64(0..500), action });
+        }
+    }
+
     fn fault(rng: &mut fastrand::Rng) -> Self {
         let server = rng.usize(0..SERVERS);
         let ms = rng.u64(20..3_000);
-        match rng.u8(0..7) {
+        match rng.u8(0..10) {
             0 => Self::Kill { server, ms },
             1 => Self::DropFrames { server, ms: ms / 4 },
             2 => Self::RepeatFrames { server, ms },
             3 => Self::DelayFrames { server, ms, by_ms: rng.u64(10..1_500) },
             4 => Self::MisdeliverFrames { server, ms },
             5 => Self::IgnoreCancels { server, ms },
+            6 => Self::LoseConnections { server },
+            7 => Self::Freeze { server, ms: ms * 2 },
+            8 => Self::RepeatOnResume { server, ms, from: rng.u32(0..3) * 20 },
             _ => Self::EndEarly { server, ms },
         }
     }
--- a/crates/fuchsiabay-prove/src/stream_world.rs
+++ b/crates/fuchsiabay-prove/src/stream_world.rs
@@ -86,6 +86,9 @@
     misdelivers_until: Timestamp,
     ignores_until: Timestamp,
     ends_early_until: Timestamp,
+    frozen_until: Timestamp,
+    repeats_on_resume_until: Timestamp,
+    repeats_from: u32,
 }
 
 struct Call {
@@ -223,6 +226,12 @@
                 self.servers[server].misdelivers_until = until(ms);
             }
             StreamAction::IgnoreCancels { server, ms } => self.servers[server].ignores_until = until(ms),
+            StreamAction::LoseConnections { server } => self.lose_connections(server),
+            StreamAction::Freeze { server, ms } => self.servers[server].frozen_until = until(ms),
+            StreamAction::RepeatOnResume { server, ms, from } => {
+                self.servers[server].repeats_on_resume_until = until(ms);
+                self.servers[server].repeats_from = from;
+            }
             StreamAction::EndEarly { server, ms } => self.servers[server].ends_early_until = until(ms),
         }
     }
@@ -234,6 +243,10 @@
         self.servers[server].alive = false;
         self.servers[server].life += 1;
         self.schedule.after(ms, Event::Restart(server));
+        self.lose_connections(server);
+    }
+
+    fn lose_connections(&mut self, server: usize) {
         for (attempt, (call, _)) in self.attempts.iter().filter(|(_, (_, at))| *at == server) {
             let delay = self.rng.u64(1..5);
             self.schedule.after(delay, Event::Lost { call: *call, attempt: *attempt });
@@ -246,7 +259,9 @@
         let life = self.servers[server].life;
         let id = AttemptId(attempt);
         let mut at = self.schedule.now().plus_millis(self.rng.u64(2..30));
-        let mut first = resume_from;
+        let repeats = self.schedule.now() < self.servers[server].repeats_on_resume_until;
+        let mut first =
+            if repeats { self.servers[server].repeats_from.min(resume_from) } else { resume_from };
         let early = self.schedule.now() < self.servers[server].ends_early_until;
         let end = if early { resume_from + (total - resume_from) / 2 } else { total };
         while first < end {
@@ -270,6 +285,11 @@
         if state.life != life || stopped || now < state.drops_until {
             return;
         }
+        if now < state.frozen_until {
+            // Events of one moment keep their order.
+            let event = Event::Frame { server, life, call, frame: frame.clone() };
+            return self.schedule.at(state.frozen_until, event);
+        }
         if now < state.late_until && self.rng.bool() {
             let by_ms = self.rng.u64(1..=state.late_ms);
             let frame = frame.clone();
--- a/crates/fuchsiabay-routing/src/transcript.rs
+++ b/crates/fuchsiabay-routing/src/transcript.rs
@@ -73,7 +73,11 @@
         if end <= self.position {
             return Ok(start);
         }
-        let new = if first >= self.position { text } else { self.new_part(first, text)? };
+        let new = if first >= self.position || !mechanism("strip-repeats") {
+            text
+        } else {
+            self.new_part(first, text)?
+        };
         self.last_frame = Mark { position: self.position, offset: start };
         self.text.push_str(new);
         self.position = end;
