--- a/crates/fuchsiabay-admission/src/scheduler/commands.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/commands.rs
@@ -124,7 +124,9 @@
     /// Refuses new work for good and hands waiting work back. Running work goes on.
     pub fn drain(&mut self, now: Timestamp) {
         self.draining_since.get_or_insert(now);
-        self.drop_all(DropReason::Draining);
+        if mechanism("drain-hand-back") {
+            self.drop_all(DropReason::Draining);
+        }
         if !mechanism("drain-waits") {
             self.commands.extend(self.running.keys().map(|id| Command::CancelRunning(*id)));
         }
--- a/crates/fuchsiabay-prove/src/promise.rs
+++ b/crates/fuchsiabay-prove/src/promise.rs
@@ -22,8 +22,10 @@
     ExpertMap,
     /// A caller receives its own answer, and an incomplete one never passes as complete.
     WholeAnswer,
-    /// A leaving server gets no new work after a few seconds, and a drain cuts off no request.
+    /// A leaving backend server gets no new work and finishes what it runs.
     LeavingAndDrain,
+    /// A leaving server is sent no new work after a few seconds, and no drain fails a request.
+    Departures,
 }
 
 impl Promise {
@@ -37,6 +39,7 @@
         Self::ExpertMap,
         Self::WholeAnswer,
         Self::LeavingAndDrain,
+        Self::Departures,
     ];
 
     /// Returns the name on the command line.
@@ -50,6 +53,7 @@
             Self::ExpertMap => "expert-map",
             Self::WholeAnswer => "whole-answer",
             Self::LeavingAndDrain => "leaving-and-drain",
+            Self::Departures => "departures",
         }
     }
 
@@ -68,11 +72,12 @@
             }
             Self::Fencing => "no order reaches an engine past its deadline or replaces a newer one",
             Self::ExpertMap => "all ranks of a group use the same expert map in every step",
+            Self::LeavingAndDrain => "a leaving server starts no new work, and no call is cut off",
             Self::WholeAnswer => {
                 "a caller receives the complete answer to its own request, or a visibly incomplete one"
             }
-            Self::LeavingAndDrain => {
-                "a leaving server gets no new work after a few seconds, and a drain cuts off no request in flight"
+            Self::Departures => {
+                "a leaving server is sent no new work after 5 s, and no drain of any instance fails a request"
             }
         }
     }
--- a/xtask/src/bench.rs
+++ b/xtask/src/bench.rs
@@ -85,7 +85,7 @@
     }))
 }
 
-/// The same load once directly and once through one entry instance and the agents.
+/// The same load directly and through one entry instance and the agents.
 fn latency(seed: u64) -> Result<Value, StepError> {
     let plan = Plan {
         profile: Profile::Release,
@@ -93,6 +93,7 @@
         engines: 1,
         services: 1,
         slots: 64,
+        agents_per_engine: 1,
         engine_args: strings(&["--step-us", "1000", "--step-per-stream-us", "0", "--prefill-block-us", "0"]),
         service_args: vec![],
     };
@@ -117,8 +118,10 @@
     ]);
     let direct =
         strings(&["load", "--engine", &cluster.engines[0].url, "--service", &cluster.services[0].url]);
-    let direct = parse(&read_to_end(&mut cluster.start_direct_load(&[direct, mix.clone()].concat())?)?)?;
-    let through = parse(&read_to_end(&mut cluster.start_load(&mix)?)?)?;
+    // Both loads run at the same time, so that whatever else the machine does meets both.
+    let mut direct = cluster.start_direct_load(&[direct, mix.clone()].concat())?;
+    let mut through = cluster.start_load(&mix)?;
+    let (direct, through) = (parse(&read_to_end(&mut direct)?)?, parse(&read_to_end(&mut through)?)?);
     cluster.finish();
     let added = |kind: &str, quantile: &str| {
         let us = |report: &Value| report["times"][kind][quantile].as_i64().unwrap_or_default();
@@ -153,6 +156,7 @@
         services: 0,
         // Twice the streams that are open on average, so that a burst does not queue.
         slots: 200,
+        agents_per_engine: 1,
         engine_args: strings(&["--step-us", "5000", "--step-per-stream-us", "0", "--prefill-block-us", "0"]),
         service_args: vec![],
     };
@@ -197,6 +201,7 @@
         engines: 1,
         services: 0,
         slots: 1_200,
+        agents_per_engine: 1,
         engine_args: strings(&["--step-us", "50000", "--step-per-stream-us", "0", "--prefill-block-us", "0"]),
         service_args: vec![],
     };
