--- a/crates/fuchsiabay-prove/src/mechanism.rs
+++ b/crates/fuchsiabay-prove/src/mechanism.rs
@@ -70,25 +70,30 @@
     mechanism("total-tokens", "off: the end of an attempt ends the answer", Promise::WholeAnswer),
     mechanism("contiguous-tokens", "off: tokens are appended after a gap", Promise::WholeAnswer),
     mechanism("drop-late-frames", "off: frames of other attempts are taken", Promise::WholeAnswer),
-    mechanism("drain-hand-back", "off: waiting work stays in the queue of a drain", Promise::KeyedDrain),
-    mechanism("retry-when-harmless", "off: a call that may have run is sent again", Promise::KeyedDrain),
-    mechanism("drain-refuses", "off: a draining agent takes new work", Promise::LeavingAndDrain),
-    mechanism("drain-waits", "off: a drain cancels running work", Promise::LeavingAndDrain),
+    mechanism(
+        "strip-repeats",
+        "off: a frame that repeats the end of the answer is appended as a whole",
+        Promise::WholeAnswer,
+    ),
+    mechanism("drain-refuses", "off: a draining agent admits new work", Promise::LeavingAndDrain),
+    mechanism("drain-hand-back", "off: waiting work stays in the queue of a drain", Promise::LeavingAndDrain),
+    mechanism("retry-when-harmless", "off: a call that may have run is sent again", Promise::LeavingAndDrain),
+    mechanism("drain-waits", "off: a drain cancels running work", Promise::Departures),
     mechanism(
         "drain-notice",
         "off: a drained agent stops before the entry instances know of the drain",
-        Promise::LeavingAndDrain,
+        Promise::Departures,
     ),
-    mechanism("skip-draining", "off: draining servers are picked", Promise::LeavingAndDrain),
+    mechanism("skip-draining", "off: draining servers are picked", Promise::Departures),
     mechanism(
         "free-hand-back",
         "off: work that a drain hands back is retried only within the retry budget",
-        Promise::LeavingAndDrain,
+        Promise::Departures,
     ),
     mechanism(
         "generation-check",
         "off: a load report of an earlier life of a server is applied",
-        Promise::LeavingAndDrain,
+        Promise::Departures,
     ),
 ];
 
--- a/crates/fuchsiabay-prove/src/script.rs
+++ b/crates/fuchsiabay-prove/src/script.rs
@@ -42,10 +42,10 @@
             Promise::Config => Self::Config(ConfigAction::script(rng)),
             Promise::CrashContainment => Self::Crashes(CrashAction::script(rng)),
             Promise::Fencing => Self::Orders(OrderAction::script(rng)),
-            Promise::KeyedDrain => Self::Drains(DrainAction::script(rng)),
+            Promise::LeavingAndDrain => Self::Drains(DrainAction::script(rng)),
             Promise::ExpertMap => Self::Maps(MapAction::script(rng)),
             Promise::WholeAnswer => Self::Streams(StreamAction::script(rng)),
-            Promise::LeavingAndDrain => Self::Leaving(LeavingAction::script(rng)),
+            Promise::Departures => Self::Leaving(LeavingAction::script(rng)),
         }
     }
 
--- a/crates/fuchsiabay-prove/tests/runs.rs
+++ b/crates/fuchsiabay-prove/tests/runs.rs
@@ -27,9 +27,9 @@
     crash_containment: "crash-containment";
     fencing: "fencing";
     expert_map: "expert-map";
-    keyed_drain: "keyed-drain";
-    whole_answer: "whole-answer";
     leaving_and_drain: "leaving-and-drain";
+    whole_answer: "whole-answer";
+    departures: "departures";
 }
 
 fn traces() -> Vec<PathBuf> {
