--- a/crates/fuchsiabay-measure/src/capacity/messages.rs
+++ b/crates/fuchsiabay-measure/src/capacity/messages.rs
@@ -3,10 +3,10 @@
 use fuchsiabay_base::{AttemptId, Fingerprint, Generation, IdempotencyKey, Timestamp, Verdict};
 use fuchsiabay_follow::{History, state_hash};
 use fuchsiabay_wire::{
-    ConfigPullReply, ConfigPullRequest, End, Frame, LoadReport, Priority, SubmitReply, SubmitRequest, Tokens,
-    Work,
+    ConfigPullReply, ConfigPullRequest, End, Frame, FrameDecoder, LoadReport, Priority, SubmitReply,
+    SubmitRequest, Tokens, Work,
 };
-use serde::Serialize;
+use serde::{Deserialize, Serialize};
 use serde_json::json;
 
 use super::state::configuration;
@@ -34,6 +34,53 @@
     frame_bytes(&Frame::Request(req)) + frame_bytes(&Frame::Response(reply))
 }
 
+fn token(i: u64) -> Tokens {
+    Tokens { attempt: AttemptId(1_000_000), first: i as u32, count: 1, text: b"token".to_vec() }
+}
+
+/// The same token as a JSON-RPC notification, which was weighed against the binary frame.
+fn token_notification(token: &Tokens) -> Frame {
+    let text = std::str::from_utf8(&token.text).unwrap_or_default();
+    let params = (token.attempt, token.first, token.count, text);
+    Frame::Request(json!({ "jsonrpc": "2.0", "method": "tokens", "params": params }).to_string())
+}
+
+fn through_decoder(frame: &Frame, decoder: &mut FrameDecoder, buf: &mut Vec<u8>) -> Option<Frame> {
+    buf.clear();
+    frame.encode(buf).ok()?;
+    decoder.extend(buf);
+    decoder.next_frame().ok().flatten()
+}
+
+/// Encodes and decodes `count` tokens as binary frames.
+pub(crate) fn binary_tokens(count: u64) -> u64 {
+    let (mut decoder, mut buf) = (FrameDecoder::default(), Vec::new());
+    let decoded = (0..count).filter(|&i| {
+        let frame = through_decoder(&Frame::Tokens(token(i)), &mut decoder, &mut buf);
+        matches!(frame, Some(Frame::Tokens(token)) if token.first == i as u32)
+    });
+    decoded.count() as u64
+}
+
+/// Encodes and decodes `count` tokens as JSON-RPC notifications.
+pub(crate) fn json_tokens(count: u64) -> u64 {
+    let (mut decoder, mut buf) = (FrameDecoder::default(), Vec::new());
+    let decoded = (0..count).filter(|&i| {
+        let frame = through_decoder(&token_notification(&token(i)), &mut decoder, &mut buf);
+        let Some(Frame::Request(text)) = frame else {
+            return false;
+        };
+        let notification: Result<Notification, _> = serde_json::from_str(&text);
+        notification.is_ok_and(|notification| notification.params.1 == i as u32)
+    });
+    decoded.count() as u64
+}
+
+#[derive(Deserialize)]
+struct Notification {
+    params: (AttemptId, u32, u16, String),
+}
+
 /// Returns the bytes of each message, a call with its reply.
 pub(crate) fn sizes() -> Vec<(&'static str, usize)> {
     let submit = SubmitRequest {
@@ -77,7 +124,6 @@
         error: None,
         response: None,
     };
-    let token = Tokens { attempt: AttemptId(1_000_000), first: 100, count: 1, text: b"token".to_vec() };
     vec![
         ("load poll and reply", call_bytes("load", &(), &load())),
         (
@@ -87,7 +133,8 @@
         ("config pull and reply, unchanged", call_bytes("config_pull", &pull, &unchanged)),
         ("config pull and reply, 9800 workspaces, whole", call_bytes("config_pull", &pull, &whole)),
         ("config pull and reply, one of 9800 workspaces changed", call_bytes("config_pull", &pull, &step)),
-        ("one token of 5 bytes", frame_bytes(&Frame::Tokens(token))),
+        ("one token of 5 bytes", frame_bytes(&Frame::Tokens(token(100)))),
+        ("one token of 5 bytes as JSON-RPC notification", frame_bytes(&token_notification(&token(100)))),
         ("end of an attempt", frame_bytes(&Frame::End(Box::new(end)))),
     ]
 }
--- a/crates/fuchsiabay-measure/src/capacity/slope.rs
+++ b/crates/fuchsiabay-measure/src/capacity/slope.rs
@@ -18,6 +18,9 @@
     nanoseconds_per_item: f64,
 }
 
+/// Fewer bytes an item than this count as none.
+const KEPT_BYTES: f64 = 16.0;
+
 /// Builds an item of each size and keeps all of them, so that freed memory is not counted as free.
 pub(crate) fn measure<T>(item: &'static str, sizes: [u64; 3], mut build: impl FnMut(u64) -> T) -> Slope {
     // The first build pays for what is set up once.
@@ -45,15 +48,13 @@
 
 impl fmt::Display for Slope {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(
-            f,
-            "{}: {:.0} bytes, {:.0} ns an item (sizes {:?}, worst fit {:.0} %)",
-            self.item,
-            self.bytes_per_item,
-            self.nanoseconds_per_item,
-            self.sizes,
-            self.worst_fit * 100.0
-        )
+        let Self { item, sizes, bytes_per_item, worst_fit, nanoseconds_per_item } = self;
+        write!(f, "{item}: {nanoseconds_per_item:.0} ns")?;
+        // Items that keep nothing have only the noise of the allocator, which no line fits.
+        if *bytes_per_item >= KEPT_BYTES {
+            write!(f, " and {bytes_per_item:.0} bytes, worst fit {:.0} %,", worst_fit * 100.0)?;
+        }
+        write!(f, " an item, sizes {sizes:?}")
     }
 }
 
