--- a/crates/fuchsiabay-follow/src/follower.rs
+++ b/crates/fuchsiabay-follow/src/follower.rs
@@ -32,6 +32,8 @@
     reducer: ConfigReducer,
     freshness: Freshness,
     readers: Readers,
+    /// The listed entry instances of the own zone.
+    zone_entries: Vec<InstanceId>,
     history: History,
     hash: Option<Fingerprint>,
     /// The steps of a neighbour did not apply, so the next pull asks for the whole state.
@@ -46,6 +48,7 @@
             reducer: ConfigReducer::default(),
             freshness,
             readers: Readers::default(),
+            zone_entries: Vec::new(),
             history: History::default(),
             hash: None,
             wants_whole: false,
@@ -105,13 +108,17 @@
 
     /// Takes the instance list over.
     pub fn update_members(&self, instances: &[Instance]) {
-        let live = instances
-            .iter()
-            .filter(|instance| instance.role == Role::Entry && instance.state == InstanceState::Live)
-            .map(|instance| (&instance.id, &instance.zone));
-        let readers = Readers::choose(live);
+        let live = || {
+            instances
+                .iter()
+                .filter(|instance| instance.role == Role::Entry && instance.state == InstanceState::Live)
+        };
+        let readers = Readers::choose(live().map(|instance| (&instance.id, &instance.zone)));
+        let in_zone = live().filter(|instance| instance.zone == self.zone);
+        let zone_entries = in_zone.map(|instance| instance.id.clone()).collect();
         let mut state = self.state.lock();
         state.freshness.set_readers(&readers);
+        state.zone_entries = zone_entries;
         state.readers = readers;
     }
 
@@ -178,11 +185,18 @@
         state.readers.contains(&self.own) || state.readers.iter().next().is_none() || is_ageing(&state, now)
     }
 
-    /// Returns the readers to pull from: those of the own zone, and all of them while the last proof is ageing.
+    /// Returns the instances to pull from: the readers of the own zone, and all readers while the last proof is ageing.
+    ///
+    /// A reader that finds the log down asks the entry instances of its zone, too. One of them may have read a change
+    /// that no reader read, because an instance with an ageing proof reads the log itself.
     pub(crate) fn pull_targets(&self, now: Timestamp) -> Vec<InstanceId> {
         let state = self.state.lock();
         let all = is_ageing(&state, now) || state.freshness.log_down(now);
-        let targets: Vec<InstanceId> = if all {
+        let ask_zone = state.readers.contains(&self.own) && state.freshness.log_down(now);
+        let targets: Vec<InstanceId> = if ask_zone {
+            let others = state.zone_entries.iter().filter(|id| !state.readers.contains(id));
+            state.readers.iter().chain(others).cloned().collect()
+        } else if all {
             state.readers.iter().cloned().collect()
         } else if state.readers.contains(&self.own) {
             Vec::new()
--- a/crates/fuchsiabay-prove/src/config_actor.rs
+++ b/crates/fuchsiabay-prove/src/config_actor.rs
@@ -43,6 +43,8 @@
     pub(crate) reducer: ConfigReducer,
     pub(crate) freshness: Freshness,
     readers: Readers,
+    /// The listed entry instances of the own zone.
+    zone_entries: Vec<InstanceId>,
 }
 
 impl Process {
@@ -65,6 +67,7 @@
             reducer: ConfigReducer::default(),
             freshness: Freshness::new(instance(index)),
             readers: Readers::default(),
+            zone_entries: Vec::new(),
         }
     }
 
@@ -86,6 +89,9 @@
             .filter(|i| listed[*i])
             .map(|i| (instance(i), ZoneName::new((i / 3).to_string())))
             .collect();
+        let own_zone = ZoneName::new(self.zone.to_string());
+        let in_zone = ids.iter().filter(|(_, zone)| *zone == own_zone);
+        self.zone_entries = in_zone.map(|(id, _)| id.clone()).collect();
         self.readers = Readers::choose(ids.iter().map(|(id, zone)| (id, zone)));
         self.freshness.set_readers(&self.readers);
     }
@@ -104,7 +110,10 @@
         let own = instance(self.index);
         let all = self.is_ageing(now) || self.freshness.log_down(now);
         let zone = ZoneName::new(self.zone.to_string());
-        let targets: Vec<&InstanceId> = if all {
+        let ask_zone = self.readers.contains(&own) && self.freshness.log_down(now);
+        let targets: Vec<&InstanceId> = if ask_zone {
+            self.readers.iter().chain(&self.zone_entries).collect()
+        } else if all {
             self.readers.iter().collect()
         } else if self.readers.contains(&own) {
             Vec::new()
--- a/crates/fuchsiabay-prove/src/map_script.rs
+++ b/crates/fuchsiabay-prove/src/map_script.rs
@@ -6,6 +6,8 @@
 
 /// Ranks of the group. Each has an agent of its own.
 pub(crate) const RANKS: usize = 4;
+/// A proposal takes at most this long to the log, in milliseconds.
+pub(crate) const LONGEST_APPEND_MS: u64 = 500;
 /// When the last action of a script may begin, in milliseconds.
 const SCRIPT_MS: u64 = 20_000;
 
@@ -81,7 +83,7 @@
             let action = Self::Switch {
                 coordinator: rng.usize(0..2),
                 ahead: rng.u64(1..100),
-                takes_ms: rng.u64(1..500),
+                takes_ms: rng.u64(1..LONGEST_APPEND_MS),
             };
             steps.push(Step { at_ms: rng.u64(1_000..SCRIPT_MS), action });
         }
