--- a/crates/fuchsiabay-admission/src/scheduler/commands.rs
+++ b/crates/fuchsiabay-admission/src/scheduler/commands.rs
@@ -122,11 +122,14 @@
     }
 
     /// Refuses new work for good and hands waiting work back. Running work goes on.
-    pub fn drain(&mut self) {
-        self.draining = true;
+    pub fn drain(&mut self, now: Timestamp) {
+        self.draining_since.get_or_insert(now);
         if mechanism("drain-hand-back") {
             self.drop_all(DropReason::Draining);
         }
+        if !mechanism("drain-waits") {
+            self.commands.extend(self.running.keys().map(|id| Command::CancelRunning(*id)));
+        }
     }
 
     /// Records a crash of the backend server: everything that ran there is suspected, and waiting and paused work
@@ -166,7 +169,7 @@
     }
 
     fn refusal(&self, now: Timestamp, job: &Job) -> Option<RefusalCause> {
-        if self.draining && mechanism("drain-refuses") {
+        if self.draining_since.is_some() && mechanism("drain-refuses") {
             return Some(RefusalCause::Draining);
         }
         if self.down {
--- a/crates/fuchsiabay-prove/src/drain_world.rs
+++ b/crates/fuchsiabay-prove/src/drain_world.rs
@@ -219,7 +219,7 @@
         state.leaving = true;
         state.gone_ms = ms;
         state.stays_until = self.schedule.now().plus_millis(LINGER_MS);
-        state.scheduler.drain();
+        state.scheduler.drain(self.schedule.now());
         let life = state.life;
         self.schedule.after(LIST_LAG_MS, Event::Unlisted { agent, life });
         self.schedule.after(LINGER_MS, Event::LingerOver { agent, life });
--- a/crates/fuchsiabay-prove/tests/runs.rs
+++ b/crates/fuchsiabay-prove/tests/runs.rs
@@ -29,6 +29,7 @@
     expert_map: "expert-map";
     leaving_and_drain: "leaving-and-drain";
     whole_answer: "whole-answer";
+    departures: "departures";
 }
 
 fn traces() -> Vec<PathBuf> {
