--- a/crates/fuchsiabay-prove/src/promise.rs
+++ b/crates/fuchsiabay-prove/src/promise.rs
@@ -24,6 +24,8 @@
     WholeAnswer,
     /// A leaving backend server gets no new work and finishes what it runs.
     LeavingAndDrain,
+    /// A leaving server is sent no new work after a few seconds, and no drain fails a request.
+    Departures,
 }
 
 impl Promise {
@@ -37,6 +39,7 @@
         Self::ExpertMap,
         Self::WholeAnswer,
         Self::LeavingAndDrain,
+        Self::Departures,
     ];
 
     /// Returns the name on the command line.
@@ -50,6 +53,7 @@
             Self::ExpertMap => "expert-map",
             Self::WholeAnswer => "whole-answer",
             Self::LeavingAndDrain => "leaving-and-drain",
+            Self::Departures => "departures",
         }
     }
 
@@ -72,6 +76,9 @@
             Self::WholeAnswer => {
                 "a caller receives the complete answer to its own request, or a visibly incomplete one"
             }
+            Self::Departures => {
+                "a leaving server is sent no new work after 5 s, and no drain of any instance fails a request"
+            }
         }
     }
 }
