--- a/crates/fuchsiabay-prove/src/map_script.rs
+++ b/crates/fuchsiabay-prove/src/map_script.rs
@@ -7,7 +7,7 @@
 /// Ranks of the group. Each has an agent of its own.
 pub(crate) const RANKS: usize = 4;
 /// A proposal takes at most this long to the log, in milliseconds.
-pub(crate) const LONGEST_APPEND_MS: u64 = 500;
+const LONGEST_APPEND_MS: u64 = 500;
 /// When the last action of a script may begin, in milliseconds.
 const SCRIPT_MS: u64 = 20_000;
 
--- a/crates/fuchsiabay-prove/src/map_world.rs
+++ b/crates/fuchsiabay-prove/src/map_world.rs
@@ -11,7 +11,7 @@
 use crate::{
     Outcome, Step,
     fake_log::{FakeLog, Stored},
-    map_script::{LONGEST_APPEND_MS, MapAction, RANKS},
+    map_script::{MapAction, RANKS},
     schedule::Schedule,
 };
 
@@ -333,17 +333,14 @@
             self.outcome.violate(format!("the group stands still at step {}", self.next_step));
         }
         let faultless = !self.steps.iter().any(|step| step.action.is_fault());
+        // The switch that reaches the log first must be decided; one that it overtakes finds it pending and is void.
+        let switches = self.steps.iter().filter_map(|step| match step.action {
+            MapAction::Switch { ahead, takes_ms, .. } => Some((step.at_ms + takes_ms, ahead, takes_ms)),
+            _ => None,
+        });
         // Permits run ahead of the steps, so that agents vote only for hold steps that are far enough ahead.
-        let in_time = |action: &MapAction| match action {
-            MapAction::Switch { ahead, takes_ms, .. } => *ahead > 2 * AHEAD + takes_ms / STEP_MS,
-            _ => false,
-        };
-        let first = self.steps.first().filter(|step| in_time(&step.action));
-        // A later proposal that reaches the log earlier takes the place of the first one.
-        let alone = |first: &Step<MapAction>| {
-            self.steps.get(1).is_none_or(|next| next.at_ms >= first.at_ms + LONGEST_APPEND_MS)
-        };
-        if faultless && first.is_some_and(alone) && self.maps.len() < 2 {
+        let in_time = |(_, ahead, takes_ms): (u64, u64, u64)| ahead > 2 * AHEAD + takes_ms / STEP_MS;
+        if faultless && switches.min().is_some_and(in_time) && self.maps.len() < 2 {
             self.outcome.violate("the first switch had no effect although there was no fault");
         }
         for (step, map) in &self.maps {
