State the computed cost of full connections alike everywhere

The design page and the code gave 444 and 480 KB/s for the same load polls. 600 agents polled twice a second at 400 bytes are 480 KB/s.

Measured: nothing; the figure is computed.

--- a/crates/fuchsiabay-routing/src/subset.rs
+++ b/crates/fuchsiabay-routing/src/subset.rs
@@ -5,7 +5,7 @@
 use fuchsiabay_base::{Fingerprint, InstanceId, ServiceName, ZoneName};
 
 /// Agents that one entry instance connects to. With 350 entry instances and 600 agents, connections of everybody to
-/// everybody would cost a node 444 KB/s of load reports; with 64, each agent still has some 37 entry instances.
+/// everybody would cost a node 480 KB/s of load polls; with 64, each agent still has some 37 entry instances.
 const MAX_LINKS: usize = 64;
 
 /// Agents of a service that are connected in any case.
