--- a/crates/fuchsiabay-follow/src/history.rs
+++ b/crates/fuchsiabay-follow/src/history.rs
@@ -60,7 +60,7 @@
             version = step.to;
         }
         let state: InForce = serde_json::from_value(value).ok()?;
-        let whole = state.version == version && hash(&state).is_some() && hash(&state) == expected;
+        let whole = state.version == version && hash(&state)? == expected?;
         whole.then_some(state)
     }
 
--- a/crates/fuchsiabay-measure/src/traffic.rs
+++ b/crates/fuchsiabay-measure/src/traffic.rs
@@ -22,6 +22,11 @@
     Settings { servers: 16, zones: 3, slots: 8, seed, zone_loss_ms: None }
 }
 
+/// Returns how many requests of `mean_tokens` tokens a fleet finishes per second.
+fn requests_per_second(settings: Settings, mean_tokens: f64) -> f64 {
+    settings.servers as f64 * f64::from(settings.slots) * 1000.0 / (mean_tokens * TOKEN_MS as f64)
+}
+
 fn preset() -> PresetLimits {
     let limits = Limits {
         slots: 0,
@@ -148,8 +153,7 @@
 pub fn crest(seed: u64) -> Measure {
     let settings = deployment(seed);
     let mean_tokens = 90.0;
-    let capacity =
-        settings.servers as f64 * f64::from(settings.slots) * 1000.0 / (mean_tokens * TOKEN_MS as f64);
+    let capacity = requests_per_second(settings, mean_tokens);
     let calm = Source {
         workspaces: workspaces("bakery", 10),
         per_second: capacity * 0.4,
@@ -240,8 +244,7 @@
 pub fn smallest_share(seed: u64) -> Measure {
     let settings = deployment(seed);
     let mean_tokens = 100.0;
-    let capacity =
-        settings.servers as f64 * f64::from(settings.slots) * 1000.0 / (mean_tokens * TOKEN_MS as f64);
+    let capacity = requests_per_second(settings, mean_tokens);
     let share = capacity / 10.0;
     let small = Source {
         workspaces: workspaces("small", 9),
@@ -334,8 +337,7 @@
 pub fn zone_loss(seed: u64) -> Measure {
     let settings = Settings { servers: 15, zone_loss_ms: Some(LOSS_MS), ..deployment(seed) };
     let mean_tokens = 90.0;
-    let capacity =
-        settings.servers as f64 * f64::from(settings.slots) * 1000.0 / (mean_tokens * TOKEN_MS as f64);
+    let capacity = requests_per_second(settings, mean_tokens);
     let steady = Source {
         workspaces: workspaces("bakery", 10),
         per_second: capacity * 0.55,
