--- /dev/null
+++ b/crates/fuchsiabay-balancer/src/directory.rs
@@ -0,0 +1,133 @@
+//! The directory of backend servers, as far as this instance knows.
+
+use std::{collections::HashMap, sync::Arc};
+
+use fuchsiabay_base::{InstanceId, Timestamp};
+use serde::{Deserialize, Serialize};
+
+use crate::{ServerRecord, ServerState};
+
+/// The time after an outage of the store within which entries that lapsed meanwhile come back, in milliseconds.
+const LAPSE_GRACE_MS: u64 = 2_000;
+
+/// The time for which the last record of a server that is gone is kept, in milliseconds. A delayed older record of
+/// it must not bring it back.
+const TOMBSTONE_MS: u64 = 60_000;
+
+/// A change of the directory.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum ServerChange {
+    /// A heartbeat.
+    Heartbeat(ServerRecord),
+    /// The entry was removed.
+    Removed(InstanceId),
+}
+
+#[derive(Clone, Debug)]
+struct Entry {
+    record: Arc<ServerRecord>,
+    /// When the server counts as gone. None while its entry is there.
+    gone_at: Option<Timestamp>,
+}
+
+/// The directory. It keeps the newest record of each server.
+#[derive(Debug, Default)]
+pub struct Directory {
+    entries: HashMap<InstanceId, Entry>,
+    /// When the last outage of the store ended, as seen from here.
+    outage_ended_at: Option<Timestamp>,
+    /// When `expire` was called last.
+    expired_at: Timestamp,
+}
+
+impl Directory {
+    /// Notes that the store answers again after it did not.
+    pub fn note_outage_end(&mut self, now: Timestamp) {
+        self.outage_ended_at = Some(now);
+    }
+
+    /// Applies `change`. Returns whether the set of usable servers or one of their records changed.
+    pub fn apply(&mut self, change: ServerChange, now: Timestamp) -> bool {
+        match change {
+            ServerChange::Heartbeat(record) => self.heartbeat(record, now),
+            ServerChange::Removed(id) => self.remove(&id, now),
+        }
+    }
+
+    /// Replaces the directory by a full listing: what it does not name is removed.
+    pub fn replace(&mut self, records: Vec<ServerRecord>, now: Timestamp) {
+        let missing: Vec<InstanceId> = self
+            .entries
+            .iter()
+            .filter(|(id, entry)| entry.gone_at.is_none() && records.iter().all(|record| record.id != **id))
+            .map(|(id, _)| id.clone())
+            .collect();
+        for id in missing {
+            self.remove(&id, now);
+        }
+        for record in records {
+            self.heartbeat(record, now);
+        }
+    }
+
+    /// Returns the servers that may get new work.
+    pub fn ready(&self, now: Timestamp) -> impl Iterator<Item = &Arc<ServerRecord>> {
+        self.listed(now).filter(|record| record.state == ServerState::Ready)
+    }
+
+    /// Returns the servers whose entries are there, or lapsed so lately that they may come back.
+    pub fn listed(&self, now: Timestamp) -> impl Iterator<Item = &Arc<ServerRecord>> {
+        let present = move |entry: &&Entry| entry.gone_at.is_none_or(|at| at > now);
+        self.entries.values().filter(present).map(|entry| &entry.record)
+    }
+
+    /// Returns the changes that a neighbour with this directory's state would need.
+    pub fn changes(&self, now: Timestamp) -> Vec<ServerChange> {
+        let change = |(id, entry): (&InstanceId, &Entry)| match entry.gone_at {
+            Some(at) if at <= now => ServerChange::Removed(id.clone()),
+            _ => ServerChange::Heartbeat((*entry.record).clone()),
+        };
+        self.entries.iter().map(change).collect()
+    }
+
+    /// Forgets servers that have been gone for long. Returns whether a server became gone since the last call.
+    pub fn expire(&mut self, now: Timestamp) -> bool {
+        let since = std::mem::replace(&mut self.expired_at, now);
+        let has_left = |entry: &Entry| entry.gone_at.is_some_and(|at| at > since && at <= now);
+        let changed = self.entries.values().any(has_left);
+        self.entries.retain(|_, entry| entry.gone_at.is_none_or(|at| at.plus_millis(TOMBSTONE_MS) > now));
+        changed
+    }
+
+    fn heartbeat(&mut self, record: ServerRecord, _now: Timestamp) -> bool {
+        let Some(entry) = self.entries.get_mut(&record.id) else {
+            self.entries.insert(record.id.clone(), Entry { record: Arc::new(record), gone_at: None });
+            return true;
+        };
+        if record.age_key() <= entry.record.age_key() {
+            return false;
+        }
+        // A life that said it is leaving does not come back; only a new life does.
+        let leaving = entry.record.state == ServerState::Draining && record.born_ms == entry.record.born_ms;
+        if leaving && record.state == ServerState::Ready && record.born_ms != 0 {
+            return false;
+        }
+        entry.record = Arc::new(record);
+        entry.gone_at = None;
+        true
+    }
+
+    fn remove(&mut self, id: &InstanceId, now: Timestamp) -> bool {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return false;
+        };
+        if entry.gone_at.is_some() {
+            return false;
+        }
+        let grace_end = self.outage_ended_at.map(|ended| ended.plus_millis(LAPSE_GRACE_MS));
+        entry.gone_at = Some(grace_end.map_or(now, |end| end.max(now)));
+        true
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-balancer/src/lib.rs
@@ -0,0 +1,36 @@
+//! Decisions of an entry instance that sends straight to backend servers: route tables, the directory of backend
+//! servers, admission, choice of a server, ejection and the retry budget.
+//!
+//! This crate must not know sockets, clocks or the platform. Time is an argument, so the same code runs in the daemon
+//! and in tests on virtual time.
+//!
+//! Invariants kept here: a configuration is never replaced by an older one; a record of a backend server is never
+//! replaced by an older one; a server that is draining or gone is never chosen; a job is granted at most once.
+
+mod config;
+mod crash_ledger;
+mod directory;
+mod engine_profile;
+mod health;
+mod limits;
+mod pool;
+mod retry_ledger;
+mod route;
+mod route_table;
+mod server_record;
+mod serving;
+mod workspace;
+
+pub use config::ServingConfig;
+pub use crash_ledger::CrashLedger;
+pub use directory::{Directory, ServerChange};
+pub use engine_profile::EngineProfile;
+pub use health::{Health, Outcome};
+pub use limits::CallerLimits;
+pub use pool::{Admission, Grant, Job, JobId, Pool, PoolSnapshot, Refusal, RefusalReason, ServerSnapshot};
+pub use retry_ledger::{RetryLedger, RetryLimits};
+pub use route::{Route, RouteKind, Target};
+pub use route_table::RouteTable;
+pub use server_record::{ServerRecord, ServerState};
+pub use serving::{KeyCheck, Serving, ServingSlot};
+pub use workspace::Workspace;
--- /dev/null
+++ b/crates/fuchsiabay-balancer/src/pool/commands.rs
@@ -0,0 +1,157 @@
+//! What changes a pool.
+
+use std::{collections::HashMap, sync::Arc};
+
+use fuchsiabay_base::{InstanceId, Timestamp, invariant};
+
+use super::{Admission, Grant, Job, JobId, Pool, Refusal, RefusalReason, member::Member};
+use crate::{EngineProfile, Outcome, ServerRecord};
+
+/// The time for which a server that said it is full gets no request, in milliseconds.
+const FULL_PAUSE_MS: u64 = 100;
+
+/// The shortest time after which a refused caller is asked to come back, in milliseconds.
+const MIN_RETRY_AFTER_MS: u64 = 200;
+
+/// The time after which a caller is asked to come back when no server is known, in milliseconds.
+const NO_SERVER_RETRY_AFTER_MS: u64 = 1_000;
+
+impl Pool {
+    /// Sets the profile of the service's engines.
+    pub fn set_engine(&mut self, engine: Option<&EngineProfile>) {
+        self.engine = engine.cloned();
+    }
+
+    /// Sets the servers that may get new work. Returns the jobs that get a place by it.
+    pub fn set_servers<'a>(
+        &mut self,
+        ready: impl IntoIterator<Item = &'a Arc<ServerRecord>>,
+        now: Timestamp,
+    ) -> Vec<(JobId, Grant)> {
+        self.members.iter_mut().for_each(|member| member.is_leaving = true);
+        for record in ready {
+            self.set_server(record);
+        }
+        self.members.retain(|member| !member.is_leaving || member.own > 0);
+        self.dispatch(now)
+    }
+
+    fn set_server(&mut self, record: &Arc<ServerRecord>) {
+        let known = self.members.iter_mut().find(|member| member.record.id == record.id);
+        let Some(member) = known else {
+            self.members.push(Member::new(record.clone()));
+            return;
+        };
+        member.is_leaving = false;
+        // A new life knows nothing of what was sent to the former one.
+        if member.record.born_ms != record.born_ms {
+            *member = member.reborn(record.clone());
+            return;
+        }
+        member.record = record.clone();
+    }
+
+    /// Decides about a new job.
+    pub fn admit(&mut self, job: Job, now: Timestamp) -> Admission {
+        if self.waiting.ahead_of(&job, now) == 0
+            && let Some(grant) = self.take_place(&job, now)
+        {
+            return Admission::Granted(grant);
+        }
+        if !self.has_candidate(&job) {
+            return Admission::Refused(self.refusal(RefusalReason::NoServer, 0));
+        }
+        let wait = self.predict_wait_ms(&job, now);
+        if wait > self.longest_wait_ms(&job, now) {
+            return Admission::Refused(self.refusal(RefusalReason::WaitTooLong, wait));
+        }
+        let id = JobId(self.next_job);
+        self.next_job += 1;
+        self.waiting.push(id, job);
+        Admission::Queued(id)
+    }
+
+    /// Takes a waiting job out. Returns whether it was still waiting.
+    pub fn abandon(&mut self, id: JobId) -> bool {
+        self.waiting.remove(id).is_some()
+    }
+
+    /// Takes out the jobs whose deadline has passed.
+    pub fn expire(&mut self, now: Timestamp) -> Vec<JobId> {
+        self.waiting.take_expired(now)
+    }
+
+    /// Gives a place back. Returns the jobs that get a place by it, and whether the server was ejected.
+    pub fn finish(&mut self, grant: &Grant, outcome: Outcome, now: Timestamp) -> (Vec<(JobId, Grant)>, bool) {
+        self.demand.note_end(now);
+        let mut ejected = false;
+        if let Some(member) = self.member(&grant.server.id) {
+            invariant!("place_returned_once", member.own > 0, "server {} has no request", grant.server.id);
+            member.own = member.own.saturating_sub(1);
+            member.own_tokens = member.own_tokens.saturating_sub(grant.tokens);
+            if member.record.born_ms == grant.server.born_ms {
+                ejected = member.health.note_outcome(outcome, now);
+            }
+        }
+        self.members.retain(|member| !member.is_leaving || member.own > 0);
+        (self.dispatch(now), ejected)
+    }
+
+    /// Notes how many requests a server holds in all, as it said itself.
+    pub fn note_total(&mut self, server: &InstanceId, total: u32, now: Timestamp) {
+        if let Some(member) = self.member(server) {
+            member.note_total(total, now);
+        }
+    }
+
+    /// Notes how many requests the other instances have at each server. Servers that are not named have none.
+    pub fn note_others(&mut self, others: &HashMap<InstanceId, u32>, now: Timestamp) -> Vec<(JobId, Grant)> {
+        for member in &mut self.members {
+            member.note_others(others.get(&member.record.id).copied().unwrap_or(0), now);
+        }
+        self.dispatch(now)
+    }
+
+    /// Notes that a server said it is full.
+    pub fn note_full(&mut self, server: &InstanceId, now: Timestamp) {
+        if let Some(member) = self.member(server) {
+            member.note_full(now.plus_millis(FULL_PAUSE_MS));
+        }
+    }
+
+    /// Gives free places to waiting jobs.
+    pub fn dispatch(&mut self, now: Timestamp) -> Vec<(JobId, Grant)> {
+        let mut grants = Vec::new();
+        while let Some(id) = self.waiting.first(now, |job| self.find_place(job, now).is_some()) {
+            let Some(job) = self.waiting.remove(id) else {
+                break;
+            };
+            let Some(grant) = self.take_place(&job, now) else {
+                break;
+            };
+            grants.push((id, grant));
+        }
+        grants
+    }
+
+    fn take_place(&mut self, job: &Job, now: Timestamp) -> Option<Grant> {
+        let (i, grant) = self.find_place(job, now)?;
+        let member = &mut self.members[i];
+        member.own += 1;
+        member.own_tokens += grant.tokens;
+        member.health.note_sent();
+        Some(grant)
+    }
+
+    fn refusal(&self, reason: RefusalReason, wait_ms: u64) -> Refusal {
+        let retry_after_ms = match reason {
+            RefusalReason::NoServer => NO_SERVER_RETRY_AFTER_MS,
+            RefusalReason::WaitTooLong => wait_ms.max(MIN_RETRY_AFTER_MS),
+        };
+        Refusal { reason, retry_after_ms, predicted_wait_ms: wait_ms, queued: self.waiting.len() }
+    }
+
+    fn member(&mut self, id: &InstanceId) -> Option<&mut Member> {
+        self.members.iter_mut().find(|member| member.record.id == *id)
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-balancer/src/pool/member.rs
@@ -0,0 +1,85 @@
+//! One backend server in a pool.
+
+use std::sync::Arc;
+
+use fuchsiabay_base::Timestamp;
+
+use crate::{Health, ServerRecord};
+
+/// The time for which a load report counts, in milliseconds. An older one says little about streams that last
+/// one to two seconds.
+const REPORT_LIFE_MS: u64 = 1_500;
+
+#[derive(Clone, Debug)]
+pub(super) struct Member {
+    pub(super) record: Arc<ServerRecord>,
+    pub(super) health: Health,
+    /// Requests of this instance at the server.
+    pub(super) own: u32,
+    /// Their tokens.
+    pub(super) own_tokens: u64,
+    /// Requests of others at the server, and when that was reported.
+    others: u32,
+    reported_at: Option<Timestamp>,
+    /// Until when the server says that it is full.
+    full_until: Option<Timestamp>,
+    /// Whether it has left the directory. It is kept until its last request ends.
+    pub(super) is_leaving: bool,
+}
+
+impl Member {
+    pub(super) fn new(record: Arc<ServerRecord>) -> Self {
+        Self {
+            record,
+            health: Health::default(),
+            own: 0,
+            own_tokens: 0,
+            others: 0,
+            reported_at: None,
+            full_until: None,
+            is_leaving: false,
+        }
+    }
+
+    /// Returns the member after its server started again. The requests sent to the former life still count until they
+    /// end.
+    pub(super) fn reborn(&self, record: Arc<ServerRecord>) -> Self {
+        Self { own: self.own, own_tokens: self.own_tokens, ..Self::new(record) }
+    }
+
+    /// Returns the requests that are believed to be at the server.
+    pub(super) fn load(&self, now: Timestamp) -> u32 {
+        self.own + self.foreign_load(now)
+    }
+
+    pub(super) fn foreign_load(&self, now: Timestamp) -> u32 {
+        match self.report_age_ms(now) {
+            Some(age) if age < REPORT_LIFE_MS => self.others,
+            _ => 0,
+        }
+    }
+
+    pub(super) fn report_age_ms(&self, now: Timestamp) -> Option<u64> {
+        self.reported_at.map(|at| now.millis_since(at))
+    }
+
+    /// Notes how many requests the server holds in all, as it said itself.
+    pub(super) fn note_total(&mut self, total: u32, now: Timestamp) {
+        self.others = total.saturating_sub(self.own);
+        self.reported_at = Some(now);
+    }
+
+    /// Notes how many requests the other instances have at the server, as they said.
+    pub(super) fn note_others(&mut self, others: u32, now: Timestamp) {
+        self.others = others;
+        self.reported_at = Some(now);
+    }
+
+    pub(super) fn note_full(&mut self, until: Timestamp) {
+        self.full_until = Some(until);
+    }
+
+    pub(super) fn is_choosable(&self, now: Timestamp) -> bool {
+        !self.is_leaving && self.full_until.is_none_or(|until| until <= now) && self.health.is_usable(now)
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-balancer/src/pool/waiting.rs
@@ -0,0 +1,53 @@
+//! The requests that wait for a place.
+
+use fuchsiabay_base::Timestamp;
+
+use super::{Job, JobId};
+
+/// The requests that wait, in the order of their arrival.
+#[derive(Clone, Debug, Default)]
+pub(super) struct Waiting {
+    jobs: Vec<(JobId, Job)>,
+}
+
+impl Waiting {
+    pub(super) fn push(&mut self, id: JobId, job: Job) {
+        self.jobs.push((id, job));
+    }
+
+    pub(super) fn remove(&mut self, id: JobId) -> Option<Job> {
+        let i = self.jobs.iter().position(|(other, _)| *other == id)?;
+        Some(self.jobs.remove(i).1)
+    }
+
+    pub(super) fn len(&self) -> usize {
+        self.jobs.len()
+    }
+
+    /// Returns how many jobs would be served before `job`.
+    pub(super) fn ahead_of(&self, job: &Job, now: Timestamp) -> usize {
+        let key = order_key(job, now);
+        self.jobs.iter().filter(|(_, other)| order_key(other, now) <= key).count()
+    }
+
+    /// Returns the job to serve first among those that `fits` accepts.
+    pub(super) fn first(&self, now: Timestamp, fits: impl Fn(&Job) -> bool) -> Option<JobId> {
+        let candidates = self.jobs.iter().filter(|(_, job)| job.deadline > now && fits(job));
+        candidates.min_by_key(|(id, job)| (order_key(job, now), *id)).map(|(id, _)| *id)
+    }
+
+    /// Removes the jobs whose deadline has passed.
+    pub(super) fn take_expired(&mut self, now: Timestamp) -> Vec<JobId> {
+        let expired = self.jobs.iter().filter(|(_, job)| job.deadline <= now).map(|(id, _)| *id).collect();
+        self.jobs.retain(|(_, job)| job.deadline > now);
+        expired
+    }
+}
+
+/// Orders jobs: streams that already reached their callers, then those that can still be on time, then the late
+/// ones; by priority and goal in each.
+///
+/// Serving late jobs last keeps one burst from making every later request late, too.
+fn order_key(job: &Job, now: Timestamp) -> (bool, bool, u8, Timestamp) {
+    (!job.is_resumption, job.goal_at <= now, job.priority, job.goal_at)
+}
--- /dev/null
+++ b/crates/fuchsiabay-balancer/src/retry_ledger.rs
@@ -0,0 +1,78 @@
+//! This instance's part of the retry budget that all instances share.
+
+use std::collections::VecDeque;
+
+use fuchsiabay_base::Timestamp;
+
+/// The width of a bucket of the sliding window, in milliseconds.
+const BUCKET_MS: u64 = 250;
+
+/// The share of its part that an instance uses. The rest covers instances that this one does not know yet.
+const USED_PERCENT: u64 = 70;
+
+/// The limit that all instances keep together.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RetryLimits {
+    /// Retries per request.
+    pub ratio: f64,
+    /// Retries allowed beyond the ratio in one window.
+    pub slack: u64,
+    /// The width of the window, in milliseconds.
+    pub window_ms: u64,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Bucket {
+    ends_at: Timestamp,
+    requests: u64,
+    retries: u64,
+}
+
+/// Counts requests and retries of one service in a sliding window.
+#[derive(Debug)]
+pub struct RetryLedger {
+    limits: RetryLimits,
+    buckets: VecDeque<Bucket>,
+}
+
+impl RetryLedger {
+    /// Builds an empty ledger.
+    pub fn new(limits: RetryLimits) -> Self {
+        Self { limits, buckets: VecDeque::new() }
+    }
+
+    /// Counts a request of a caller.
+    pub fn count_request(&mut self, now: Timestamp) {
+        self.bucket(now).requests += 1;
+    }
+
+    /// Takes one retry if this instance's part of the budget allows it, given the number of instances.
+    pub fn take(&mut self, instances: usize, now: Timestamp) -> bool {
+        self.expire(now);
+        let requests: u64 = self.buckets.iter().map(|bucket| bucket.requests).sum();
+        let retries: u64 = self.buckets.iter().map(|bucket| bucket.retries).sum();
+        let earned = (requests as f64 * self.limits.ratio) as u64;
+        let own_slack = self.limits.slack * USED_PERCENT / 100 / instances.max(1) as u64;
+        if retries >= earned * USED_PERCENT / 100 + own_slack {
+            return false;
+        }
+        self.bucket(now).retries += 1;
+        true
+    }
+
+    fn bucket(&mut self, now: Timestamp) -> &mut Bucket {
+        let fresh = self.buckets.back().is_none_or(|bucket| bucket.ends_at <= now);
+        if fresh {
+            self.expire(now);
+            self.buckets.push_back(Bucket { ends_at: now.plus_millis(BUCKET_MS), requests: 0, retries: 0 });
+        }
+        self.buckets.back_mut().expect("a bucket was pushed if there was none")
+    }
+
+    fn expire(&mut self, now: Timestamp) {
+        let window = self.limits.window_ms;
+        while self.buckets.front().is_some_and(|bucket| bucket.ends_at.plus_millis(window) <= now) {
+            self.buckets.pop_front();
+        }
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/backend/outgoing.rs
@@ -0,0 +1,118 @@
+//! A request as it is sent to backend servers.
+
+use std::io::Write;
+
+use fuchsiabay_base::InstanceId;
+
+use crate::{
+    Dialect,
+    http::{Headers, RequestHead},
+};
+
+/// Header fields that concern one connection only.
+const HOP_BY_HOP: [&str; 10] = [
+    "connection",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+    "content-length",
+];
+
+/// A request without what differs between attempts.
+#[derive(Debug)]
+pub(crate) struct OutgoingRequest {
+    /// The request line and the header fields that every attempt carries.
+    head: Vec<u8>,
+    body: Vec<u8>,
+    has_body: bool,
+    dialect: &'static Dialect,
+    pub(crate) is_head_request: bool,
+    pub(crate) request_id: String,
+    /// The last event that the caller has, if it resumes a stream.
+    pub(crate) last_event_id: Option<String>,
+}
+
+impl OutgoingRequest {
+    /// Copies the end-to-end header fields of `head`. `workspace` replaces what the caller claimed to be.
+    pub(crate) fn new(
+        head: &RequestHead,
+        body: Vec<u8>,
+        dialect: &'static Dialect,
+        workspace: Option<&str>,
+        priority: Option<u8>,
+    ) -> Self {
+        let mut out = Vec::with_capacity(512);
+        out.extend_from_slice(head.method.as_bytes());
+        out.push(b' ');
+        out.extend_from_slice(head.target.as_bytes());
+        out.extend_from_slice(b" HTTP/1.1\r\n");
+        for (name, value) in head.headers.iter() {
+            if is_forwarded(name, &head.headers, dialect) {
+                push_field(&mut out, name, value);
+            }
+        }
+        if let Some(workspace) = workspace {
+            push_field(&mut out, dialect.workspace, workspace.as_bytes());
+        }
+        if let Some(priority) = priority {
+            push_field(&mut out, dialect.priority, priority.to_string().as_bytes());
+        }
+        Self {
+            head: out,
+            has_body: !body.is_empty() || head.method != "GET" && head.method != "HEAD",
+            body,
+            dialect,
+            is_head_request: head.method == "HEAD",
+            request_id: head.headers.find(dialect.request_id).unwrap_or_default().to_owned(),
+            last_event_id: head.headers.find("last-event-id").map(str::to_owned),
+        }
+    }
+
+    /// Returns the bytes of one attempt.
+    pub(crate) fn encode(&self, server: &InstanceId, left_ms: u64, last_event_id: Option<&str>) -> Vec<u8> {
+        let mut out = Vec::with_capacity(self.head.len() + self.body.len() + 160);
+        out.extend_from_slice(&self.head);
+        let d = self.dialect;
+        let fixed = write!(out, "{}: {left_ms}\r\n{}: {server}\r\n", d.deadline_ms, d.expected_server);
+        debug_assert!(fixed.is_ok(), "writing to a vector does not fail");
+        if let Some(id) = last_event_id {
+            push_field(&mut out, "Last-Event-Id", id.as_bytes());
+        }
+        if self.has_body {
+            push_field(&mut out, "Content-Length", self.body.len().to_string().as_bytes());
+        }
+        out.extend_from_slice(b"\r\n");
+        out.extend_from_slice(&self.body);
+        out
+    }
+}
+
+fn is_forwarded(name: &str, headers: &Headers, dialect: &Dialect) -> bool {
+    let is = |other: &str| name.eq_ignore_ascii_case(other);
+    let is_set_here = is(dialect.workspace)
+        || is(dialect.expected_server)
+        || is(dialect.deadline_ms)
+        || is(dialect.priority)
+        || is("last-event-id")
+        || is("authorization")
+        || is("expect");
+    if is_set_here || HOP_BY_HOP.iter().any(|other| is(other)) {
+        return false;
+    }
+    // Fields that the deployment itself relies on go on whatever the caller's connection options say.
+    let is_relied_on =
+        is("host") || is(dialect.request_id) || is(dialect.token_count) || is(dialect.length_hint);
+    is_relied_on || !headers.lists("connection", name)
+}
+
+fn push_field(out: &mut Vec<u8>, name: &str, value: &[u8]) {
+    out.extend_from_slice(name.as_bytes());
+    out.extend_from_slice(b": ");
+    out.extend_from_slice(value);
+    out.extend_from_slice(b"\r\n");
+}
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/caller/connection.rs
@@ -0,0 +1,108 @@
+//! One connection of a caller: reads requests one after the other.
+
+use std::sync::Arc;
+
+use fuchsiabay_base::Timestamp;
+use fuchsiabay_runtime::{monotonic_now, sleep_until};
+use futures_lite::FutureExt;
+use smol::net::TcpStream;
+
+use super::OwnResponse;
+use crate::{
+    gateway::Gateway,
+    http::{HeadError, RequestHead, Wire},
+    request,
+};
+
+/// Why no request came.
+enum NoRequest {
+    /// The caller closed the connection, or stayed idle for too long.
+    Ended,
+    /// What came cannot be served.
+    Rejected(OwnResponse),
+}
+
+/// Serves the requests of one connection until it ends.
+pub(crate) async fn run(gateway: &Arc<Gateway>, stream: TcpStream) {
+    let mut wire = Wire::new(stream);
+    loop {
+        match read_head(gateway, &mut wire).await {
+            Ok(head) => {
+                if !request::serve(gateway, &mut wire, &head).await {
+                    break;
+                }
+                wire.release_buffer();
+            }
+            Err(NoRequest::Ended) => break,
+            Err(NoRequest::Rejected(response)) => {
+                reject(&mut wire, response).await;
+                break;
+            }
+        }
+    }
+    wire.close().await;
+}
+
+async fn reject(wire: &mut Wire, response: OwnResponse) {
+    metrics::counter!("fuchsiabay_rejected_heads_total", "reason" => response.reason).increment(1);
+    log::info!(status = response.status, reason = response.reason; "caller: head rejected");
+    if let Err(error) = wire.write_all(&response.encode(None, false, false)).await {
+        log::debug!("caller: rejection not written: {error}");
+    }
+}
+
+async fn read_head(gateway: &Gateway, wire: &mut Wire) -> Result<RequestHead, NoRequest> {
+    let limits = gateway.limits();
+    if wire.data().is_empty() {
+        let idle_until = monotonic_now().plus_millis(limits.idle_timeout_ms);
+        fill(wire, idle_until).await.map_err(|_| NoRequest::Ended)?;
+    }
+    let deadline = monotonic_now().plus_millis(limits.head_timeout_ms);
+    loop {
+        let parsed = RequestHead::parse(wire.data()).map_err(rejection)?;
+        match parsed {
+            Some((_, len)) if len > limits.max_head_bytes => return Err(too_large()),
+            Some((head, len)) => {
+                wire.consume(len);
+                return Ok(head);
+            }
+            None if wire.data().len() > limits.max_head_bytes => return Err(too_large()),
+            None => fill(wire, deadline).await.map_err(|reason| match reason {
+                FillError::Ended => NoRequest::Ended,
+                FillError::Late => NoRequest::Rejected(OwnResponse::rejected(408, "slow_head")),
+            })?,
+        }
+    }
+}
+
+enum FillError {
+    Ended,
+    Late,
+}
+
+async fn fill(wire: &mut Wire, deadline: Timestamp) -> Result<(), FillError> {
+    let read = async {
+        match wire.fill().await {
+            Ok(0) | Err(_) => Err(FillError::Ended),
+            Ok(_) => Ok(()),
+        }
+    };
+    let late = async {
+        sleep_until(deadline).await;
+        Err(FillError::Late)
+    };
+    read.or(late).await
+}
+
+fn too_large() -> NoRequest {
+    NoRequest::Rejected(OwnResponse::rejected(431, "head_too_large"))
+}
+
+fn rejection(error: HeadError) -> NoRequest {
+    let reason = match error {
+        HeadError::Malformed => "malformed_head",
+        HeadError::AmbiguousLength => "ambiguous_length",
+        HeadError::UnknownCoding => "unknown_coding",
+    };
+    NoRequest::Rejected(OwnResponse::rejected(400, reason))
+}
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/caller/listener.rs
@@ -0,0 +1,37 @@
+//! Accepts callers.
+
+use std::{sync::Arc, time::Duration};
+
+use fuchsiabay_runtime::spawn;
+use smol::net::TcpListener;
+
+use super::connection;
+use crate::gateway::Gateway;
+
+/// The pause after a failed accept, which happens when file descriptors run out.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// Accepts callers for ever.
+pub(crate) async fn serve(gateway: Arc<Gateway>, listener: TcpListener) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                log::warn!("caller: accept failed: {error}");
+                smol::Timer::after(ACCEPT_RETRY).await;
+                continue;
+            }
+        };
+        if !gateway.open_connection() {
+            metrics::counter!("fuchsiabay_connections_refused_total").increment(1);
+            log::warn!("caller: connection refused, too many are open");
+            continue;
+        }
+        let gateway = gateway.clone();
+        spawn(async move {
+            connection::run(&gateway, stream).await;
+            gateway.close_connection();
+        })
+        .detach();
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/daemon.rs
@@ -0,0 +1,99 @@
+//! Starts and stops the gateway.
+
+use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
+
+use async_global_executor::GlobalExecutorConfig;
+use fuchsiabay_base::Timestamp;
+use fuchsiabay_runtime::{OpsServer, metrics_export, monotonic_now, spawn};
+use smol::{Timer, net::TcpListener};
+
+use crate::{
+    ConfigSource, GatewaySettings, ServerSource, caller, follow,
+    gateway::Gateway,
+    signals::{Order, Orders},
+};
+
+/// The time after the order to stop for which new connections are accepted, in milliseconds. The balancer in front asks
+/// for readiness once a second and stops sending connections after two misses.
+const ACCEPT_AFTER_STOP_MS: u64 = 3_300;
+
+/// The part of the stop timeout that is left unused, in milliseconds.
+const STOP_MARGIN_MS: u64 = 400;
+
+/// The interval in which a stopping gateway looks whether it is done.
+const STOP_POLL: Duration = Duration::from_millis(50);
+
+/// Why the gateway could not start.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+pub enum StartError {
+    /// An address could not be bound.
+    #[error("cannot listen on {0}: {1}")]
+    Listen(SocketAddr, #[source] io::Error),
+    /// The signals could not be taken over.
+    #[error("cannot receive signals: {0}")]
+    Signals(#[source] io::Error),
+}
+
+/// Runs a gateway until it is told to stop. `reload` is called at every SIGHUP.
+pub fn run<C: ConfigSource, S: ServerSource>(
+    settings: GatewaySettings,
+    config: C,
+    servers: S,
+    reload: impl Fn(),
+) -> Result<(), StartError> {
+    async_global_executor::init_with_config(
+        GlobalExecutorConfig::default().with_min_threads(settings.threads).with_max_threads(settings.threads),
+    );
+    metrics_export::install();
+    async_global_executor::block_on(serve(settings, config, servers, reload))
+}
+
+async fn serve<C: ConfigSource, S: ServerSource>(
+    settings: GatewaySettings,
+    config: C,
+    servers: S,
+    reload: impl Fn(),
+) -> Result<(), StartError> {
+    let mut orders = Orders::new().map_err(StartError::Signals)?;
+    let listener = bind(settings.listen, TcpListener::bind(settings.listen)).await?;
+    let stop_timeout_ms = settings.stop_timeout_ms;
+    let gateway = Arc::new(Gateway::new(settings));
+    let ops_listen = gateway.settings.ops_listen;
+    let _ops = bind(ops_listen, OpsServer::start(ops_listen, gateway.clone())).await?;
+    spawn(follow::follow_config(gateway.clone(), config)).detach();
+    spawn(follow::follow_servers(gateway.clone(), servers)).detach();
+    spawn(follow::tick(gateway.clone())).detach();
+    let accept = spawn(caller::serve(gateway.clone(), listener));
+    log::info!(
+        instance = gateway.settings.instance.as_str(), zone = gateway.settings.zone.as_str(),
+        listen:% = gateway.settings.listen, version = env!("CARGO_PKG_VERSION");
+        "gateway: started"
+    );
+    while orders.next().await == Order::Reload {
+        reload();
+    }
+    gateway.start_drain();
+    log::info!(running = gateway.running_requests(); "gateway: stopping");
+    let now = monotonic_now();
+    let stop_at = now.plus_millis(stop_timeout_ms.saturating_sub(STOP_MARGIN_MS));
+    wait_for_end(&gateway, now.plus_millis(ACCEPT_AFTER_STOP_MS).min(stop_at), stop_at).await;
+    accept.cancel().await;
+    log::info!(running = gateway.running_requests(); "gateway: stopped");
+    Ok(())
+}
+
+/// Waits until `earliest`, and then until no request runs or `latest` is reached.
+async fn wait_for_end(gateway: &Gateway, earliest: Timestamp, latest: Timestamp) {
+    loop {
+        let now = monotonic_now();
+        if now >= latest || now >= earliest && gateway.running_requests() == 0 {
+            return;
+        }
+        Timer::after(STOP_POLL).await;
+    }
+}
+
+async fn bind<T>(addr: SocketAddr, bound: impl Future<Output = io::Result<T>>) -> Result<T, StartError> {
+    bound.await.map_err(|error| StartError::Listen(addr, error))
+}
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -0,0 +1,186 @@
+//! What the tasks of a gateway share.
+
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, AtomicUsize, Ordering},
+    },
+};
+
+use fuchsiabay_balancer::{CallerLimits, Directory, Serving, ServingSlot};
+use fuchsiabay_base::{ServiceName, Timestamp};
+use fuchsiabay_runtime::{OpsSource, monotonic_now};
+use parking_lot::{Mutex, RwLock};
+use serde_json::{Value, json};
+
+use crate::{GatewaySettings, backend::Connections, shard::ServiceShard};
+
+/// The shared state. Each service has a shard under a lock of its own.
+pub(crate) struct Gateway {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) connections: Connections,
+    serving: RwLock<ServingSlot>,
+    directory: Mutex<Directory>,
+    shards: RwLock<HashMap<ServiceName, Arc<ServiceShard>>>,
+    directory_is_known: AtomicBool,
+    is_draining: AtomicBool,
+    open_connections: AtomicUsize,
+    running_requests: AtomicUsize,
+    instances: AtomicUsize,
+}
+
+impl Gateway {
+    pub(crate) fn new(settings: GatewaySettings) -> Self {
+        Self {
+            settings,
+            connections: Connections::default(),
+            serving: RwLock::default(),
+            directory: Mutex::default(),
+            shards: RwLock::default(),
+            directory_is_known: AtomicBool::new(false),
+            is_draining: AtomicBool::new(false),
+            open_connections: AtomicUsize::new(0),
+            running_requests: AtomicUsize::new(0),
+            instances: AtomicUsize::new(1),
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub(crate) fn serving(&self) -> Option<Arc<Serving>> {
+        self.serving.read().current().cloned()
+    }
+
+    /// Returns the limits on callers.
+    pub(crate) fn limits(&self) -> CallerLimits {
+        self.serving.read().current().map(|serving| serving.limits()).unwrap_or_default()
+    }
+
+    /// Puts a configuration in force unless a newer one is. Returns whether it is in force now.
+    pub(crate) fn offer_config(&self, serving: Serving) -> bool {
+        let serving = Arc::new(serving);
+        if !self.serving.write().offer(serving.clone()) {
+            return false;
+        }
+        for name in serving.config().services.keys() {
+            self.shard(name).set_engine(serving.engine(name));
+        }
+        true
+    }
+
+    /// Returns the shard of a service.
+    pub(crate) fn shard(&self, service: &ServiceName) -> Arc<ServiceShard> {
+        if let Some(shard) = self.shards.read().get(service) {
+            return shard.clone();
+        }
+        let mut shards = self.shards.write();
+        let create = || {
+            let zone = self.settings.zone.clone();
+            Arc::new(ServiceShard::new(service.clone(), zone, self.settings.retries))
+        };
+        shards.entry(service.clone()).or_insert_with(create).clone()
+    }
+
+    /// Returns every shard.
+    pub(crate) fn shards(&self) -> Vec<Arc<ServiceShard>> {
+        self.shards.read().values().cloned().collect()
+    }
+
+    /// Changes the directory and brings the shards up to date if it says that servers changed.
+    pub(crate) fn change_directory(&self, change: impl FnOnce(&mut Directory, Timestamp) -> bool) {
+        let now = monotonic_now();
+        let mut directory = self.directory.lock();
+        if !change(&mut directory, now) {
+            return;
+        }
+        let mut by_service: HashMap<&ServiceName, Vec<_>> = HashMap::new();
+        for record in directory.ready(now) {
+            by_service.entry(&record.service).or_default().push(record);
+        }
+        for service in by_service.keys() {
+            self.shard(service);
+        }
+        for shard in self.shards() {
+            let servers = by_service.remove(shard.name()).unwrap_or_default();
+            shard.set_servers(servers);
+        }
+    }
+
+    /// Notes that the directory was read whole once.
+    pub(crate) fn set_directory_known(&self) {
+        self.directory_is_known.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns the number of instances that share the retry budget.
+    pub(crate) fn instances(&self) -> usize {
+        self.instances.load(Ordering::Relaxed)
+    }
+
+    pub(crate) fn set_instances(&self, n: usize) {
+        self.instances.store(n.max(1), Ordering::Relaxed);
+    }
+
+    pub(crate) fn start_drain(&self) {
+        self.is_draining.store(true, Ordering::Relaxed);
+    }
+
+    pub(crate) fn is_draining(&self) -> bool {
+        self.is_draining.load(Ordering::Relaxed)
+    }
+
+    /// Counts a connection. Returns whether it may stay.
+    pub(crate) fn open_connection(&self) -> bool {
+        let before = self.open_connections.fetch_add(1, Ordering::Relaxed);
+        if before >= self.settings.max_connections {
+            self.close_connection();
+            return false;
+        }
+        true
+    }
+
+    pub(crate) fn close_connection(&self) {
+        self.open_connections.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn begin_request(&self) {
+        self.running_requests.fetch_add(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn end_request(&self) {
+        self.running_requests.fetch_sub(1, Ordering::Relaxed);
+    }
+
+    pub(crate) fn running_requests(&self) -> usize {
+        self.running_requests.load(Ordering::Relaxed)
+    }
+}
+
+impl OpsSource for Gateway {
+    fn state(&self) -> Value {
+        let pools: HashMap<String, _> =
+            self.shards().iter().map(|shard| (shard.name().to_string(), shard.snapshot())).collect();
+        json!({
+            "instance": self.settings.instance,
+            "zone": self.settings.zone,
+            "config": { "version": self.serving.read().version() },
+            "draining": self.is_draining(),
+            "instances": self.instances(),
+            "connections": self.open_connections.load(Ordering::Relaxed),
+            "running_requests": self.running_requests(),
+            "pools": pools,
+        })
+    }
+
+    fn readiness(&self) -> Result<(), String> {
+        if self.is_draining() {
+            return Err("draining".to_owned());
+        }
+        if self.serving.read().current().is_none() {
+            return Err("no configuration is known".to_owned());
+        }
+        if !self.directory_is_known.load(Ordering::Relaxed) {
+            return Err("the backend servers are not known".to_owned());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/http/body.rs
@@ -0,0 +1,116 @@
+//! Reads a body from a connection.
+
+use std::io;
+
+use super::{ChunkDecoder, Framing, HeadError, Wire};
+
+/// Why a body could not be read to its end.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+pub(crate) enum BodyError {
+    /// The connection failed.
+    #[error("connection failed: {0}")]
+    Io(#[from] io::Error),
+    /// The connection ended before the body did.
+    #[error("the connection ended before the body")]
+    Truncated,
+    /// The framing is malformed.
+    #[error("malformed body: {0}")]
+    Malformed(#[from] HeadError),
+    /// The body did not arrive in time.
+    #[error("the body did not arrive in time")]
+    Late,
+    /// The body exceeds the limit.
+    #[error("the body exceeds the limit")]
+    TooLarge,
+}
+
+/// The position in a body.
+#[derive(Clone, Debug)]
+pub(crate) enum BodyReader {
+    /// Everything was read.
+    Done,
+    /// This many bytes are left.
+    Length(u64),
+    /// The chunks go on.
+    Chunked(ChunkDecoder),
+    /// Everything up to the end of the connection belongs to the body.
+    UntilClose,
+}
+
+impl BodyReader {
+    pub(crate) fn new(framing: Framing) -> Self {
+        match framing {
+            Framing::Empty | Framing::Length(0) => Self::Done,
+            Framing::Length(length) => Self::Length(length),
+            Framing::Chunked => Self::Chunked(ChunkDecoder::new()),
+            Framing::UntilClose => Self::UntilClose,
+        }
+    }
+
+    /// Returns whether everything was read.
+    pub(crate) fn is_done(&self) -> bool {
+        matches!(self, Self::Done)
+    }
+
+    /// Appends the next part of the body to `out`, waiting for input when the buffered bytes yield nothing.
+    pub(crate) async fn read_some(&mut self, wire: &mut Wire, out: &mut Vec<u8>) -> Result<(), BodyError> {
+        if self.is_done() || self.take(wire, out)? > 0 {
+            return Ok(());
+        }
+        if wire.fill().await? == 0 {
+            return self.end_of_input();
+        }
+        self.take(wire, out)?;
+        Ok(())
+    }
+
+    /// Reads the whole body, which may have `limit` bytes.
+    pub(crate) async fn read_to_end(&mut self, wire: &mut Wire, limit: usize) -> Result<Vec<u8>, BodyError> {
+        let mut body = Vec::new();
+        while !self.is_done() {
+            self.read_some(wire, &mut body).await?;
+            if body.len() > limit {
+                return Err(BodyError::TooLarge);
+            }
+        }
+        Ok(body)
+    }
+
+    fn end_of_input(&mut self) -> Result<(), BodyError> {
+        if !matches!(self, Self::UntilClose) {
+            return Err(BodyError::Truncated);
+        }
+        *self = Self::Done;
+        Ok(())
+    }
+
+    /// Moves buffered bytes to `out`. Returns how many bytes of input were used.
+    fn take(&mut self, wire: &mut Wire, out: &mut Vec<u8>) -> Result<usize, HeadError> {
+        let data = wire.data();
+        let used = match self {
+            Self::Done => 0,
+            Self::Length(left) => {
+                let used = data.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
+                out.extend_from_slice(&data[..used]);
+                *left -= used as u64;
+                used
+            }
+            Self::Chunked(decoder) => decoder.decode(data, out)?,
+            Self::UntilClose => {
+                out.extend_from_slice(data);
+                data.len()
+            }
+        };
+        wire.consume(used);
+        let is_done = match self {
+            Self::Length(left) => *left == 0,
+            Self::Chunked(decoder) => decoder.is_done(),
+            Self::Done | Self::UntilClose => false,
+        };
+        if is_done {
+            *self = Self::Done;
+        }
+        Ok(used)
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/http/head.rs
@@ -0,0 +1,90 @@
+//! What the heads of requests and responses share.
+
+/// Header fields of one head. More are refused.
+pub(crate) const MAX_HEADERS: usize = 100;
+
+/// Why bytes are not a head that this program accepts. The connection that carried them must be closed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(thiserror::Error)]
+pub(crate) enum HeadError {
+    /// The syntax is wrong, or the head can be read in more than one way.
+    #[error("malformed head")]
+    Malformed,
+    /// The length of the body is given twice, or not as a number, or beside a transfer coding.
+    #[error("ambiguous body length")]
+    AmbiguousLength,
+    /// The transfer coding is not known.
+    #[error("unknown transfer coding")]
+    UnknownCoding,
+}
+
+/// The header fields of one head, in their order.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Headers(Vec<(String, Vec<u8>)>);
+
+impl Headers {
+    /// Copies the fields that were parsed.
+    pub(crate) fn new(fields: &[httparse::Header<'_>]) -> Self {
+        Self(fields.iter().map(|field| (field.name.to_owned(), field.value.to_vec())).collect())
+    }
+
+    /// Returns the value of the first field called `name`, if it is text.
+    pub(crate) fn find<'a>(&'a self, name: &'a str) -> Option<&'a str> {
+        self.all(name).next()
+    }
+
+    /// Returns the values of the fields called `name`.
+    pub(crate) fn all<'a>(&'a self, name: &'a str) -> impl Iterator<Item = &'a str> {
+        let same = move |(other, _): &&(String, Vec<u8>)| other.eq_ignore_ascii_case(name);
+        self.0.iter().filter(same).filter_map(|(_, value)| std::str::from_utf8(value).ok())
+    }
+
+    /// Returns every field.
+    pub(crate) fn iter(&self) -> impl Iterator<Item = (&str, &[u8])> {
+        self.0.iter().map(|(name, value)| (name.as_str(), value.as_slice()))
+    }
+
+    /// Returns whether the comma-separated lists called `name` contain `token`.
+    pub(crate) fn lists(&self, name: &str, token: &str) -> bool {
+        self.all(name).flat_map(|value| value.split(',')).any(|item| item.trim().eq_ignore_ascii_case(token))
+    }
+
+    /// Returns the length of the body, if one is given.
+    pub(crate) fn content_length(&self) -> Result<Option<u64>, HeadError> {
+        let mut fields = self.0.iter().filter(|(name, _)| name.eq_ignore_ascii_case("content-length"));
+        let Some((_, value)) = fields.next() else {
+            return Ok(None);
+        };
+        // Two lengths are refused even when they agree, because other programs may read only one of them.
+        if fields.next().is_some() || value.is_empty() || !value.iter().all(u8::is_ascii_digit) {
+            return Err(HeadError::AmbiguousLength);
+        }
+        let digits = std::str::from_utf8(value).map_err(|_| HeadError::AmbiguousLength)?;
+        digits.parse().map(Some).map_err(|_| HeadError::AmbiguousLength)
+    }
+
+    /// Returns whether the body is chunked.
+    pub(crate) fn is_chunked(&self) -> Result<bool, HeadError> {
+        let mut codings = self.0.iter().filter(|(name, _)| name.eq_ignore_ascii_case("transfer-encoding"));
+        let Some((_, coding)) = codings.next() else {
+            return Ok(false);
+        };
+        if codings.next().is_some() || !coding.eq_ignore_ascii_case(b"chunked") {
+            return Err(HeadError::UnknownCoding);
+        }
+        if self.content_length()?.is_some() {
+            return Err(HeadError::AmbiguousLength);
+        }
+        Ok(true)
+    }
+}
+
+/// Returns whether a head contains a line that does not end in CR LF, or a CR elsewhere. Programs differ in how they
+/// read both.
+pub(crate) fn has_stray_line_end(head: &[u8]) -> bool {
+    head.iter().enumerate().any(|(i, byte)| match byte {
+        b'\n' => i == 0 || head[i - 1] != b'\r',
+        b'\r' => head.get(i + 1) != Some(&b'\n'),
+        _ => false,
+    })
+}
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/http/request_head.rs
@@ -0,0 +1,66 @@
+//! The head of a caller's request.
+
+use super::{
+    Framing, HeadError, Headers,
+    head::{MAX_HEADERS, has_stray_line_end},
+};
+
+/// The head of a request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct RequestHead {
+    pub(crate) method: String,
+    /// The path and query as they were sent.
+    pub(crate) target: String,
+    pub(crate) headers: Headers,
+    pub(crate) framing: Framing,
+    /// Whether the caller keeps the connection after the response.
+    pub(crate) keeps_alive: bool,
+}
+
+impl RequestHead {
+    /// Parses a head from the start of `bytes`. Returns it with its length, or None when it is not whole yet.
+    pub(crate) fn parse(bytes: &[u8]) -> Result<Option<(Self, usize)>, HeadError> {
+        let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut request = httparse::Request::new(&mut fields);
+        let len = match request.parse(bytes).map_err(|_| HeadError::Malformed)? {
+            httparse::Status::Complete(len) => len,
+            httparse::Status::Partial => return Ok(None),
+        };
+        if has_stray_line_end(&bytes[..len]) {
+            return Err(HeadError::Malformed);
+        }
+        let (Some(method), Some(target)) = (request.method, request.path) else {
+            return Err(HeadError::Malformed);
+        };
+        let headers = Headers::new(request.headers);
+        let framing = match (headers.is_chunked()?, headers.content_length()?) {
+            (true, _) => Framing::Chunked,
+            (false, Some(0) | None) => Framing::Empty,
+            (false, Some(length)) => Framing::Length(length),
+        };
+        let is_1_1 = request.version == Some(1);
+        let keeps_alive = is_1_1 && !headers.lists("connection", "close");
+        let head =
+            Self { method: method.to_owned(), target: target.to_owned(), headers, framing, keeps_alive };
+        head.check()?;
+        Ok(Some((head, len)))
+    }
+
+    /// Returns the path without the query.
+    pub(crate) fn path(&self) -> &str {
+        self.target.split_once('?').map_or(&self.target, |(path, _)| path)
+    }
+
+    /// Returns the host that the request names.
+    pub(crate) fn host(&self) -> &str {
+        self.headers.find("host").unwrap_or_default()
+    }
+
+    fn check(&self) -> Result<(), HeadError> {
+        let one_host = self.headers.all("host").count() == 1;
+        if !one_host || !self.target.starts_with('/') {
+            return Err(HeadError::Malformed);
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/http/response_head.rs
@@ -0,0 +1,50 @@
+//! The head of a backend server's response.
+
+use super::{
+    Framing, HeadError, Headers,
+    head::{MAX_HEADERS, has_stray_line_end},
+};
+
+/// The head of a response.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(crate) struct ResponseHead {
+    pub(crate) status: u16,
+    pub(crate) headers: Headers,
+    pub(crate) framing: Framing,
+    /// Whether the server keeps the connection after the response.
+    pub(crate) keeps_alive: bool,
+}
+
+impl ResponseHead {
+    /// Parses a head from the start of `bytes`. Returns it with its length, or None when it is not whole yet.
+    pub(crate) fn parse(bytes: &[u8], to_head_request: bool) -> Result<Option<(Self, usize)>, HeadError> {
+        let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+        let mut response = httparse::Response::new(&mut fields);
+        let len = match response.parse(bytes).map_err(|_| HeadError::Malformed)? {
+            httparse::Status::Complete(len) => len,
+            httparse::Status::Partial => return Ok(None),
+        };
+        if has_stray_line_end(&bytes[..len]) {
+            return Err(HeadError::Malformed);
+        }
+        let status = response.code.ok_or(HeadError::Malformed)?;
+        let headers = Headers::new(response.headers);
+        let has_no_body = to_head_request || status < 200 || status == 204 || status == 304;
+        let framing = match (headers.is_chunked()?, headers.content_length()?) {
+            _ if has_no_body => Framing::Empty,
+            (true, _) => Framing::Chunked,
+            (false, Some(0)) => Framing::Empty,
+            (false, Some(length)) => Framing::Length(length),
+            (false, None) => Framing::UntilClose,
+        };
+        let keeps_alive = response.version == Some(1)
+            && framing != Framing::UntilClose
+            && !headers.lists("connection", "close");
+        Ok(Some((Self { status, headers, framing, keeps_alive }, len)))
+    }
+
+    /// Returns whether the status tells of success.
+    pub(crate) const fn is_success(&self) -> bool {
+        self.status >= 200 && self.status < 300
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -0,0 +1,29 @@
+//! An entry instance that sends straight to backend servers: callers' HTTP, relay of responses and streams, retries,
+//! shutdown, and the tasks that follow the configuration and the directory.
+//!
+//! This crate must not know the platform's names: header names come in a [`Dialect`], and the store, the directory and
+//! the engines are reached through small traits.
+//!
+//! Invariants kept here: a refusal with 429 or 503 is sent only when the request provably did not run; bytes of a
+//! response reach only the caller whose request id the server echoed; a response that ended early never looks whole.
+
+mod backend;
+mod caller;
+mod client;
+mod daemon;
+mod dialect;
+mod follow;
+mod gateway;
+mod http;
+mod meters;
+mod request;
+mod settings;
+mod shard;
+mod signals;
+mod source;
+
+pub use client::{CallError, CallResponse, HttpClient};
+pub use daemon::{StartError, run};
+pub use dialect::Dialect;
+pub use settings::GatewaySettings;
+pub use source::{ConfigSource, ServerSource, ServerUpdate, SourceError};
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/settings.rs
@@ -0,0 +1,31 @@
+//! What the library must be told at its start.
+
+use std::net::SocketAddr;
+
+use fuchsiabay_balancer::RetryLimits;
+use fuchsiabay_base::{InstanceId, ZoneName};
+
+use crate::Dialect;
+
+/// The settings of a gateway, checked before.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// The instance.
+    pub instance: InstanceId,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where it accepts callers.
+    pub listen: SocketAddr,
+    /// Where it serves readiness, metrics and state.
+    pub ops_listen: SocketAddr,
+    /// Header names of the deployment.
+    pub dialect: &'static Dialect,
+    /// The retry budget that all instances share.
+    pub retries: RetryLimits,
+    /// The longest time from the order to stop until the process ends, in milliseconds.
+    pub stop_timeout_ms: u64,
+    /// Open connections of callers.
+    pub max_connections: usize,
+    /// Threads that run the work.
+    pub threads: usize,
+}
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/shard.rs
@@ -0,0 +1,223 @@
+//! The state of one service, under one lock.
+
+use std::{collections::HashMap, sync::Arc};
+
+use fuchsiabay_balancer::{
+    Admission, CrashLedger, EngineProfile, Grant, Job, JobId, Outcome, Pool, PoolSnapshot, Refusal,
+    RetryLedger, RetryLimits, ServerRecord,
+};
+use fuchsiabay_base::{Fingerprint, InstanceId, ServiceName, Timestamp, ZoneName};
+use fuchsiabay_runtime::monotonic_now;
+use parking_lot::Mutex;
+use smol::channel::{Receiver, Sender};
+
+/// The state of one service.
+#[derive(Debug)]
+pub(crate) struct ServiceShard {
+    name: ServiceName,
+    state: Mutex<State>,
+}
+
+#[derive(Debug)]
+struct State {
+    pool: Pool,
+    retries: RetryLedger,
+    crashes: CrashLedger,
+    waiters: HashMap<JobId, Sender<Grant>>,
+}
+
+/// What became of a job.
+pub(crate) enum Acquired {
+    /// It has a place.
+    Lease(Lease),
+    /// It waits.
+    Waiter(Waiter),
+    /// It must be refused.
+    Refused(Refusal),
+}
+
+impl ServiceShard {
+    pub(crate) fn new(name: ServiceName, zone: ZoneName, limits: RetryLimits) -> Self {
+        let state = State {
+            pool: Pool::new(zone),
+            retries: RetryLedger::new(limits),
+            crashes: CrashLedger::default(),
+            waiters: HashMap::new(),
+        };
+        Self { name, state: Mutex::new(state) }
+    }
+
+    pub(crate) fn name(&self) -> &ServiceName {
+        &self.name
+    }
+
+    /// Asks for a place.
+    pub(crate) fn acquire(self: &Arc<Self>, job: Job) -> Acquired {
+        let mut state = self.state.lock();
+        match state.pool.admit(job, monotonic_now()) {
+            Admission::Granted(grant) => Acquired::Lease(Lease::new(self, grant)),
+            Admission::Refused(refusal) => Acquired::Refused(refusal),
+            Admission::Queued(id) => {
+                let (tx, rx) = smol::channel::bounded(1);
+                state.waiters.insert(id, tx);
+                Acquired::Waiter(Waiter { shard: self.clone(), id, rx })
+            }
+        }
+    }
+
+    pub(crate) fn count_request(&self, now: Timestamp) {
+        self.state.lock().retries.count_request(now);
+    }
+
+    /// Takes one retry from this instance's part of the budget of `instances` instances.
+    pub(crate) fn take_retry(&self, instances: usize, now: Timestamp) -> bool {
+        self.state.lock().retries.take(instances, now)
+    }
+
+    /// Notes that a server was lost while it had the request.
+    pub(crate) fn note_crash(&self, fingerprint: Fingerprint, now: Timestamp) -> u32 {
+        self.state.lock().crashes.note_crash(fingerprint, now)
+    }
+
+    pub(crate) fn clear_crashes(&self, fingerprint: &Fingerprint) {
+        self.state.lock().crashes.clear(fingerprint);
+    }
+
+    /// Returns whether the request crashed too many servers.
+    pub(crate) fn is_refused(&self, fingerprint: &Fingerprint, now: Timestamp) -> bool {
+        self.state.lock().crashes.is_refused(fingerprint, now)
+    }
+
+    pub(crate) fn set_engine(&self, engine: Option<&EngineProfile>) {
+        self.state.lock().pool.set_engine(engine);
+    }
+
+    pub(crate) fn set_servers<'a>(&self, ready: impl IntoIterator<Item = &'a Arc<ServerRecord>>) {
+        let mut state = self.state.lock();
+        let grants = state.pool.set_servers(ready, monotonic_now());
+        state.deliver(grants);
+    }
+
+    pub(crate) fn note_total(&self, server: &InstanceId, total: u32) {
+        self.state.lock().pool.note_total(server, total, monotonic_now());
+    }
+
+    pub(crate) fn note_full(&self, server: &InstanceId) {
+        self.state.lock().pool.note_full(server, monotonic_now());
+    }
+
+    pub(crate) fn note_others(&self, others: &HashMap<InstanceId, u32>) {
+        let mut state = self.state.lock();
+        let grants = state.pool.note_others(others, monotonic_now());
+        state.deliver(grants);
+    }
+
+    pub(crate) fn own_loads(&self, out: &mut HashMap<InstanceId, u32>) {
+        out.extend(self.state.lock().pool.own_loads().map(|(id, n)| (id.clone(), n)));
+    }
+
+    /// Gives places to waiting jobs that ejections or pauses held back until now.
+    pub(crate) fn tick(&self) {
+        let now = monotonic_now();
+        let mut state = self.state.lock();
+        // The waiting requests see their own deadlines; here only the queue forgets them.
+        for id in state.pool.expire(now) {
+            state.waiters.remove(&id);
+        }
+        let grants = state.pool.dispatch(now);
+        state.deliver(grants);
+    }
+
+    pub(crate) fn servers(&self) -> Vec<Arc<ServerRecord>> {
+        self.state.lock().pool.servers().cloned().collect()
+    }
+
+    pub(crate) fn snapshot(&self) -> PoolSnapshot {
+        self.state.lock().pool.snapshot(monotonic_now())
+    }
+
+    /// Returns all places and the taken ones.
+    pub(crate) fn places(&self) -> (u32, u32) {
+        self.state.lock().pool.places(monotonic_now())
+    }
+
+    fn finish(&self, grant: &Grant, outcome: Outcome) {
+        let mut state = self.state.lock();
+        let (grants, ejected) = state.pool.finish(grant, outcome, monotonic_now());
+        state.deliver(grants);
+        drop(state);
+        if ejected {
+            metrics::counter!("fuchsiabay_ejections_total").increment(1);
+            log::warn!(service = self.name.as_str(), server = grant.server.id.as_str(); "health: server ejected");
+        }
+    }
+}
+
+impl State {
+    /// Hands places to the requests that wait for them. A request that left meanwhile gives its place on.
+    fn deliver(&mut self, grants: Vec<(JobId, Grant)>) {
+        let mut grants = grants;
+        while let Some((id, grant)) = grants.pop() {
+            let Some(tx) = self.waiters.remove(&id) else {
+                continue;
+            };
+            if let Err(error) = tx.try_send(grant) {
+                let grant = error.into_inner();
+                grants.extend(self.pool.finish(&grant, Outcome::Neutral, monotonic_now()).0);
+            }
+        }
+    }
+}
+
+/// A place at a server. Dropping it gives the place back.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    shard: Arc<ServiceShard>,
+    pub(crate) grant: Grant,
+    outcome: Outcome,
+}
+
+impl Lease {
+    fn new(shard: &Arc<ServiceShard>, grant: Grant) -> Self {
+        Self { shard: shard.clone(), grant, outcome: Outcome::Neutral }
+    }
+
+    /// Sets what the request says about the server's health.
+    pub(crate) fn set_outcome(&mut self, outcome: Outcome) {
+        self.outcome = outcome;
+    }
+}
+
+impl Drop for Lease {
+    fn drop(&mut self) {
+        self.shard.finish(&self.grant, self.outcome);
+    }
+}
+
+/// A request that waits for a place. Dropping it takes the request out of the queue.
+#[derive(Debug)]
+pub(crate) struct Waiter {
+    shard: Arc<ServiceShard>,
+    id: JobId,
+    rx: Receiver<Grant>,
+}
+
+impl Waiter {
+    /// Waits for a place. Returns None when the queue dropped the request, because its deadline passed.
+    pub(crate) async fn wait(&mut self) -> Option<Lease> {
+        let grant = self.rx.recv().await.ok()?;
+        Some(Lease::new(&self.shard, grant))
+    }
+}
+
+impl Drop for Waiter {
+    fn drop(&mut self) {
+        let mut state = self.shard.state.lock();
+        state.waiters.remove(&self.id);
+        state.pool.abandon(self.id);
+        if let Ok(grant) = self.rx.try_recv() {
+            let grants = state.pool.finish(&grant, Outcome::Neutral, monotonic_now()).0;
+            state.deliver(grants);
+        }
+    }
+}
--- a/crates/fuchsiabay-runtime/src/lib.rs
+++ b/crates/fuchsiabay-runtime/src/lib.rs
@@ -4,6 +4,7 @@
 //!
 //! Invariant kept here: a call is reported as `not-run` only when its frame was never handed to the socket.
 
+mod bounded_appender;
 mod clock;
 mod daemon_options;
 mod instance;
