--- a/crates/fuchsiabay-gateway/src/caller/connection.rs
+++ b/crates/fuchsiabay-gateway/src/caller/connection.rs
@@ -55,7 +55,13 @@
     let limits = gateway.limits();
     if wire.data().is_empty() {
         let idle_until = monotonic_now().plus_millis(limits.idle_timeout_ms);
-        fill(wire, idle_until).await.map_err(|_| NoRequest::Ended)?;
+        // Closing an idle connection lets its caller go to another instance. One that sent a request meanwhile may send
+        // it again, because nothing of it was read.
+        let drain = async {
+            gateway.drain().started().await;
+            Err(FillError::Ended)
+        };
+        fill(wire, idle_until).or(drain).await.map_err(|_| NoRequest::Ended)?;
     }
     let deadline = monotonic_now().plus_millis(limits.head_timeout_ms);
     loop {
--- a/crates/fuchsiabay-gateway/src/daemon.rs
+++ b/crates/fuchsiabay-gateway/src/daemon.rs
@@ -13,8 +13,9 @@
     signals::{Order, Orders},
 };
 
-/// The time after the order to stop for which new connections are accepted, in milliseconds. The balancer in front asks
-/// for readiness once a second and stops sending connections after two misses.
+/// The time after the order to stop for which requests are served, in milliseconds. The balancer in front asks for
+/// readiness once a second and stops sending connections after two misses. Later requests are refused, because they
+/// may not end in time.
 const ACCEPT_AFTER_STOP_MS: u64 = 3_300;
 
 /// The part of the stop timeout that is left unused, in milliseconds.
@@ -73,11 +74,12 @@
     while orders.next().await == Order::Reload {
         reload();
     }
-    gateway.start_drain();
-    log::info!(running = gateway.running_requests(); "gateway: stopping");
     let now = monotonic_now();
     let stop_at = now.plus_millis(stop_timeout_ms.saturating_sub(STOP_MARGIN_MS));
-    wait_for_end(&gateway, now.plus_millis(ACCEPT_AFTER_STOP_MS).min(stop_at), stop_at).await;
+    let refuse_at = now.plus_millis(ACCEPT_AFTER_STOP_MS).min(stop_at);
+    gateway.drain().start(refuse_at);
+    log::info!(running = gateway.running_requests(); "gateway: stopping");
+    wait_for_end(&gateway, refuse_at, stop_at).await;
     accept.cancel().await;
     log::info!(running = gateway.running_requests(); "gateway: stopped");
     Ok(())
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use parking_lot::{Mutex, RwLock};
 use serde_json::{Value, json};
 
-use crate::{GatewaySettings, backend::Connections, shard::ServiceShard};
+use crate::{GatewaySettings, backend::Connections, drain::Drain, shard::ServiceShard};
 
 /// The shared state. Each service has a shard under a lock of its own.
 pub(crate) struct Gateway {
@@ -24,7 +24,7 @@
     directory: Mutex<Directory>,
     shards: RwLock<HashMap<ServiceName, Arc<ServiceShard>>>,
     directory_is_known: AtomicBool,
-    is_draining: AtomicBool,
+    drain: Drain,
     open_connections: AtomicUsize,
     running_requests: AtomicUsize,
     instances: AtomicUsize,
@@ -39,7 +39,7 @@
             directory: Mutex::default(),
             shards: RwLock::default(),
             directory_is_known: AtomicBool::new(false),
-            is_draining: AtomicBool::new(false),
+            drain: Drain::default(),
             open_connections: AtomicUsize::new(0),
             running_requests: AtomicUsize::new(0),
             instances: AtomicUsize::new(1),
@@ -120,12 +120,12 @@
         self.instances.store(n.max(1), Ordering::Relaxed);
     }
 
-    pub(crate) fn start_drain(&self) {
-        self.is_draining.store(true, Ordering::Relaxed);
+    pub(crate) fn drain(&self) -> &Drain {
+        &self.drain
     }
 
     pub(crate) fn is_draining(&self) -> bool {
-        self.is_draining.load(Ordering::Relaxed)
+        self.drain.is_started()
     }
 
     /// Counts a connection. Returns whether it may stay.
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 mod client;
 mod daemon;
 mod dialect;
+mod drain;
 mod follow;
 mod gateway;
 mod http;
--- a/crates/fuchsiabay-gateway/src/request/call.rs
+++ b/crates/fuchsiabay-gateway/src/request/call.rs
@@ -13,6 +13,10 @@
 /// When a caller should come back to an instance that knows no configuration yet, in milliseconds.
 const NOT_READY_RETRY_MS: u64 = 500;
 
+/// When a caller should come back after an instance that is about to stop refused it, in milliseconds. Another instance
+/// takes the connection then.
+const STOPPING_RETRY_MS: u64 = 100;
+
 /// The engine's rank for streams of the first priority. Engines take 0 to 9.
 const MAX_ENGINE_PRIORITY: u8 = 9;
 
@@ -40,6 +44,9 @@
         body: &[u8],
         arrived: Timestamp,
     ) -> Result<Self, OwnResponse> {
+        if gateway.drain().refuses(arrived) {
+            return Err(OwnResponse::unavailable("stopping", STOPPING_RETRY_MS));
+        }
         let Some(serving) = gateway.serving() else {
             return Err(OwnResponse::unavailable("no_configuration", NOT_READY_RETRY_MS));
         };
