--- a/crates/fuchsiabay-gateway/src/daemon.rs
+++ b/crates/fuchsiabay-gateway/src/daemon.rs
@@ -8,8 +8,9 @@
 use smol::{Timer, net::TcpListener};
 
 use crate::{
-    ConfigSource, GatewaySettings, ServerSource, caller, follow,
+    GatewaySettings, Platform, caller, follow,
     gateway::Gateway,
+    groups, membership,
     signals::{Order, Orders},
 };
 
@@ -37,23 +38,17 @@
 }
 
 /// Runs a gateway until it is told to stop. `reload` is called at every SIGHUP.
-pub fn run<C: ConfigSource, S: ServerSource>(
-    settings: GatewaySettings,
-    config: C,
-    servers: S,
-    reload: impl Fn(),
-) -> Result<(), StartError> {
+pub fn run<P: Platform>(settings: GatewaySettings, platform: P, reload: impl Fn()) -> Result<(), StartError> {
     async_global_executor::init_with_config(
         GlobalExecutorConfig::default().with_min_threads(settings.threads).with_max_threads(settings.threads),
     );
     metrics_export::install();
-    async_global_executor::block_on(serve(settings, config, servers, reload))
+    async_global_executor::block_on(serve(settings, platform, reload))
 }
 
-async fn serve<C: ConfigSource, S: ServerSource>(
+async fn serve<P: Platform>(
     settings: GatewaySettings,
-    config: C,
-    servers: S,
+    platform: P,
     reload: impl Fn(),
 ) -> Result<(), StartError> {
     let mut orders = Orders::new().map_err(StartError::Signals)?;
@@ -62,8 +57,10 @@
     let gateway = Arc::new(Gateway::new(settings));
     let ops_listen = gateway.settings.ops_listen;
     let _ops = bind(ops_listen, OpsServer::start(ops_listen, gateway.clone())).await?;
-    spawn(follow::follow_config(gateway.clone(), config)).detach();
-    spawn(follow::follow_servers(gateway.clone(), servers)).detach();
+    spawn(follow::follow_config(gateway.clone(), platform.config())).detach();
+    spawn(follow::follow_servers(gateway.clone(), platform.servers())).detach();
+    spawn(membership::run(gateway.clone(), platform.membership())).detach();
+    spawn(groups::run(gateway.clone(), Arc::new(platform.engines()))).detach();
     spawn(follow::tick(gateway.clone())).detach();
     let accept = spawn(caller::serve(gateway.clone(), listener));
     log::info!(
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use parking_lot::{Mutex, RwLock};
 use serde_json::{Value, json};
 
-use crate::{GatewaySettings, backend::Connections, drain::Drain, shard::ServiceShard};
+use crate::{GatewaySettings, backend::Connections, drain::Drain, duty::Duty, shard::ServiceShard};
 
 /// The shared state. Each service has a shard under a lock of its own.
 pub(crate) struct Gateway {
@@ -25,6 +25,7 @@
     shards: RwLock<HashMap<ServiceName, Arc<ServiceShard>>>,
     directory_is_known: AtomicBool,
     drain: Drain,
+    duty: Duty,
     open_connections: AtomicUsize,
     running_requests: AtomicUsize,
     instances: AtomicUsize,
@@ -40,6 +41,7 @@
             shards: RwLock::default(),
             directory_is_known: AtomicBool::new(false),
             drain: Drain::default(),
+            duty: Duty::default(),
             open_connections: AtomicUsize::new(0),
             running_requests: AtomicUsize::new(0),
             instances: AtomicUsize::new(1),
@@ -124,6 +126,10 @@
         &self.drain
     }
 
+    pub(crate) fn duty(&self) -> &Duty {
+        &self.duty
+    }
+
     pub(crate) fn is_draining(&self) -> bool {
         self.drain.is_started()
     }
@@ -165,6 +171,7 @@
             "config": { "version": self.serving.read().version() },
             "draining": self.is_draining(),
             "instances": self.instances(),
+            "coordinates": self.duty.is_held(),
             "connections": self.open_connections.load(Ordering::Relaxed),
             "running_requests": self.running_requests(),
             "pools": pools,
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -0,0 +1,336 @@
+//! The coordinator of the groups of all services.
+
+use std::{
+    collections::{BTreeMap, HashMap},
+    sync::Arc,
+    time::Duration,
+};
+
+use fuchsiabay_balancer::{EngineProfile, ServerRecord};
+use fuchsiabay_base::{ServiceName, Timestamp};
+use fuchsiabay_lockstep::{
+    ExpertLayout, LayoutLimits, LayoutPlan, LayoutPlanner, MapSwitch, RankState, Recovery, SwitchEnd,
+    SwitchTiming,
+};
+use fuchsiabay_runtime::{monotonic_now, spawn};
+use futures_lite::future;
+use smol::Timer;
+
+use super::{
+    EngineControl,
+    group::Group,
+    orders::{read_states, send_all},
+};
+use crate::gateway::Gateway;
+
+/// The interval in which demand is read. Shorter ones cost more pauses than they save.
+const SAMPLE: Duration = Duration::from_millis(500);
+
+/// The pause after groups could not be read, or none is open.
+const REST: Duration = Duration::from_millis(300);
+
+/// The time for which a new coordinator waits before it looks at the ranks, in milliseconds. Ranks tell their state some
+/// hundred milliseconds late, and a former coordinator's orders must show.
+const TAKEOVER_MS: u64 = 700;
+
+/// The least skew that is worth a new layout.
+const MIN_SKEW: f64 = 1.25;
+
+/// The part of the present skew's excess that a new layout must leave at most.
+const MAX_LEFT: f64 = 0.6;
+
+/// The shortest time between two layouts, in milliseconds.
+const PLAN_INTERVAL_MS: u64 = 900;
+
+/// Tokens of one set that must have been seen before demand means anything, per expert.
+const MIN_TOKENS_PER_EXPERT: f64 = 200.0;
+
+/// The time from the last known step to the step of a switch, in milliseconds. All ranks must be armed by then, or the
+/// group waits.
+const SWITCH_LEAD_MS: f64 = 250.0;
+
+/// Steps that are added to the lead, because the last known step may be a little old.
+const EXTRA_LEAD_STEPS: u64 = 2;
+
+/// The time that a rank takes for one copy, in milliseconds.
+const COPY_MS: u64 = 45;
+
+/// The time within which every rank must be prepared, in milliseconds.
+const PREPARE_TIMEOUT_MS: u64 = 2_500;
+
+/// The pause between two looks at a running switch.
+const SWITCH_POLL: Duration = Duration::from_millis(15);
+
+/// Versions of one coordinator differ from those of another in their remainder by this number, so that no version ever
+/// stands for two layouts.
+const VERSION_STRIDE: u64 = 4_096;
+
+/// Coordinates for ever, while this instance holds the duty.
+pub(crate) async fn run<E: EngineControl>(gateway: Arc<Gateway>, engines: Arc<E>) {
+    let mut since: Option<Timestamp> = None;
+    let mut groups: HashMap<ServiceName, Vec<Group>> = HashMap::new();
+    loop {
+        if !gateway.duty().is_held() {
+            if since.take().is_some() {
+                log::info!("group: duty lost");
+            }
+            groups.clear();
+            Timer::after(REST).await;
+            continue;
+        }
+        let now = monotonic_now();
+        let held_since = *since.get_or_insert_with(|| {
+            log::info!("group: duty taken");
+            now
+        });
+        if now < held_since.plus_millis(TAKEOVER_MS) {
+            Timer::after(REST).await;
+            continue;
+        }
+        let round = spawn(round(gateway.clone(), engines.clone(), std::mem::take(&mut groups)));
+        groups = round.await;
+        Timer::after(SAMPLE).await;
+    }
+}
+
+/// Looks at every group once.
+async fn round<E: EngineControl>(
+    gateway: Arc<Gateway>,
+    engines: Arc<E>,
+    mut known: HashMap<ServiceName, Vec<Group>>,
+) -> HashMap<ServiceName, Vec<Group>> {
+    let Some(serving) = gateway.serving() else {
+        return known;
+    };
+    for shard in gateway.shards() {
+        let Some(engine) = serving.engine(shard.name()).filter(|engine| engine.sets > 0) else {
+            continue;
+        };
+        let servers = shard.servers();
+        let groups = known.entry(shard.name().clone()).or_default();
+        let seen: usize = groups.iter().map(|group| group.ranks.len()).sum();
+        let is_same =
+            |group: &Group| group.ranks.iter().all(|rank| servers.iter().any(|s| is_same_life(s, rank)));
+        if groups.is_empty() || seen != servers.len() || !groups.iter().all(is_same) {
+            *groups = discover(&engines, &servers, engine).await;
+        }
+        let mut kept = Vec::new();
+        for mut group in groups.drain(..) {
+            if sample(&engines, &mut group).await {
+                improve(&gateway, &engines, &mut group, engine).await;
+                kept.push(group);
+            }
+        }
+        *groups = kept;
+    }
+    known
+}
+
+fn is_same_life(a: &ServerRecord, b: &ServerRecord) -> bool {
+    a.id == b.id && a.born_ms == b.born_ms
+}
+
+/// Finds the open groups among `servers`, settles what a former coordinator left behind, and reads their layouts.
+async fn discover<E: EngineControl>(
+    engines: &Arc<E>,
+    servers: &[Arc<ServerRecord>],
+    engine: &EngineProfile,
+) -> Vec<Group> {
+    let mut by_group: BTreeMap<String, Vec<(Arc<ServerRecord>, RankState)>> = BTreeMap::new();
+    for (server, group, state) in read_states(engines, servers).await {
+        by_group.entry(group).or_default().push((server, state));
+    }
+    let mut groups = Vec::new();
+    for (name, mut ranks) in by_group {
+        ranks.sort_by_key(|(_, state)| state.rank);
+        if !is_whole(&ranks) {
+            log::debug!("group: {name} is not whole and open");
+            continue;
+        }
+        if !settle(engines, &name, &ranks).await {
+            continue;
+        }
+        let Some(layout) = read_layout(engines, &ranks).await else {
+            continue;
+        };
+        log::info!(group = name.as_str(), epoch = ranks[0].1.epoch, map = ranks[0].1.map, ranks = ranks.len(); "group: found");
+        groups.push(Group::new(name, ranks, layout, engine, monotonic_now()));
+    }
+    groups
+}
+
+/// Returns whether every rank is there, open and in the same epoch.
+fn is_whole(ranks: &[(Arc<ServerRecord>, RankState)]) -> bool {
+    let Some((_, first)) = ranks.first() else {
+        return false;
+    };
+    ranks.len() == usize::from(first.size)
+        && ranks.iter().enumerate().all(|(i, (_, state))| {
+            state.is_open && state.epoch == first.epoch && usize::from(state.rank) == i
+        })
+}
+
+/// Resolves holds and armed ranks. Returns whether nothing is left.
+async fn settle<E: EngineControl>(
+    engines: &Arc<E>,
+    name: &str,
+    ranks: &[(Arc<ServerRecord>, RankState)],
+) -> bool {
+    let states: Vec<RankState> = ranks.iter().map(|(_, state)| state.clone()).collect();
+    let Recovery::Orders(orders) = Recovery::of(&states) else {
+        return true;
+    };
+    for (rank, order) in &orders {
+        log::warn!(group = name, rank = *rank, order = order.as_str(); "group: settling what was left behind");
+    }
+    let servers: Vec<_> = ranks.iter().map(|(server, _)| server.clone()).collect();
+    send_all(engines, &servers, states[0].epoch, orders).await;
+    false
+}
+
+async fn read_layout<E: EngineControl>(
+    engines: &Arc<E>,
+    ranks: &[(Arc<ServerRecord>, RankState)],
+) -> Option<ExpertLayout> {
+    let mut tasks = Vec::with_capacity(ranks.len());
+    for (server, _) in ranks {
+        let (engines, server) = (engines.clone(), server.clone());
+        tasks.push(spawn(async move { engines.lists(&server).await }));
+    }
+    let mut lists = Vec::with_capacity(tasks.len());
+    for task in tasks {
+        match task.await {
+            Ok(list) => lists.push(list),
+            Err(error) => log::info!(error:% = error; "group: lists not read"),
+        }
+    }
+    let first = lists.first()?;
+    let is_one_map = lists.iter().all(|list| list.epoch == first.epoch && list.map == first.map);
+    if lists.len() != ranks.len() || !is_one_map {
+        return None;
+    }
+    let experts: Vec<Vec<Vec<u16>>> = lists.into_iter().map(|list| list.experts).collect();
+    Some(ExpertLayout::from_ranks(&experts))
+}
+
+/// Reads the demand of some ranks. Returns false when the group has changed and must be found anew.
+async fn sample<E: EngineControl>(engines: &Arc<E>, group: &mut Group) -> bool {
+    let mut tasks = Vec::new();
+    for rank in group.sampled_ranks() {
+        let (engines, server) = (engines.clone(), group.ranks[rank].clone());
+        tasks.push((rank, spawn(async move { engines.demand(&server).await })));
+    }
+    let mut is_same = true;
+    for (rank, task) in tasks {
+        let now = monotonic_now();
+        match task.await {
+            Ok(sample) if sample.epoch != group.epoch => is_same = false,
+            Ok(sample) => {
+                group.note_step(sample.step, now);
+                group.demand.record(rank as u16, &sample.counts, now);
+            }
+            Err(error) => {
+                log::info!(error:% = error; "group: demand not read");
+                is_same = false;
+            }
+        }
+    }
+    if !is_same {
+        log::info!(group = group.name.as_str(), epoch = group.epoch; "group: changed");
+    }
+    is_same
+}
+
+/// Plans a better layout and switches to it if it is worth it.
+async fn improve<E: EngineControl>(
+    gateway: &Gateway,
+    engines: &Arc<E>,
+    group: &mut Group,
+    engine: &EngineProfile,
+) {
+    let now = monotonic_now();
+    if group.switching_at.is_some_and(|step| group.step >= step) {
+        group.switching_at = None;
+    }
+    let is_known = group.demand.total() >= MIN_TOKENS_PER_EXPERT * f64::from(engine.experts);
+    if group.switching_at.is_some() || now < group.plan_at || !is_known {
+        return;
+    }
+    let limits = LayoutLimits { placements: engine.placements.into(), spare: engine.spare.into() };
+    let plan = plan(&LayoutPlanner::new(limits), group).await;
+    let is_worth_it =
+        plan.skew_before >= MIN_SKEW && plan.skew_after - 1.0 <= (plan.skew_before - 1.0) * MAX_LEFT;
+    if !is_worth_it || plan.copies == 0 {
+        return;
+    }
+    group.version = next_version(group.version, gateway.duty().term());
+    let since = monotonic_now();
+    let end = switch(engines, group, &plan).await;
+    let ms = monotonic_now().millis_since(since);
+    let (outcome, step) = match end {
+        SwitchEnd::Switched { step } => ("switched", step),
+        SwitchEnd::GivenUp(reason) => (reason, 0),
+    };
+    metrics::counter!("fuchsiabay_map_switches_total", "outcome" => outcome).increment(1);
+    log::info!(
+        group = group.name.as_str(), epoch = group.epoch, version = group.version, outcome, step, ms,
+        copies = plan.copies, skew_before = plan.skew_before, skew_after = plan.skew_after,
+        tokens = group.demand.total();
+        "group: switch ended"
+    );
+    group.plan_at = monotonic_now().plus_millis(PLAN_INTERVAL_MS);
+    if let SwitchEnd::Switched { step } = end {
+        group.switching_at = Some(step);
+        group.layout = plan.layout;
+    }
+}
+
+/// Plans one set at a time and lets requests be served in between.
+async fn plan(planner: &LayoutPlanner, group: &Group) -> LayoutPlan {
+    let mut sets = Vec::with_capacity(group.layout.sets.len());
+    for (current, tokens) in group.layout.sets.iter().zip(group.demand.tokens()) {
+        sets.push(planner.plan_set(current, tokens));
+        future::yield_now().await;
+    }
+    planner.summarize(&group.layout, ExpertLayout { sets }, group.demand.tokens())
+}
+
+/// Returns a version above `highest` that only the coordinator of `term` uses.
+fn next_version(highest: u64, term: u64) -> u64 {
+    (highest / VERSION_STRIDE + 1) * VERSION_STRIDE + term % VERSION_STRIDE
+}
+
+/// Runs one switch to its end, also when the duty is lost meanwhile: a hold must not be left behind.
+async fn switch<E: EngineControl>(engines: &Arc<E>, group: &mut Group, plan: &LayoutPlan) -> SwitchEnd {
+    let now = monotonic_now();
+    let most_copies = group.layout.copies_by_rank(&plan.layout).into_iter().max().unwrap_or(0) as u64;
+    let timing = SwitchTiming {
+        copied_at: now.plus_millis(most_copies * COPY_MS),
+        prepare_by: now.plus_millis(PREPARE_TIMEOUT_MS),
+        lead_steps: group.steps_within(SWITCH_LEAD_MS) + EXTRA_LEAD_STEPS,
+    };
+    let layout = Arc::new(plan.layout.clone());
+    let mut switch = MapSwitch::new(group.version, layout, group.step, timing);
+    loop {
+        let now = monotonic_now();
+        switch.note_step(group.estimated_step(now));
+        let orders = switch.poll(now);
+        if let Some(end) = switch.end() {
+            return end;
+        }
+        if orders.is_empty() {
+            Timer::after(SWITCH_POLL).await;
+        }
+        for (rank, order, reply) in send_all(engines, &group.ranks, group.epoch, orders).await {
+            switch.note_reply(rank, &order, reply, monotonic_now());
+        }
+        if switch.needs_states() {
+            for (_, name, state) in read_states(engines, &group.ranks).await {
+                if name != group.name || state.epoch != group.epoch {
+                    return SwitchEnd::GivenUp("the group was formed anew");
+                }
+                switch.note_state(usize::from(state.rank), &state, monotonic_now());
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/groups/group.rs
@@ -0,0 +1,93 @@
+//! One lockstep group, as its coordinator sees it.
+
+use std::sync::Arc;
+
+use fuchsiabay_balancer::{EngineProfile, ServerRecord};
+use fuchsiabay_base::Timestamp;
+use fuchsiabay_lockstep::{ExpertDemand, ExpertLayout, RankState};
+
+/// The ranks whose demand is read, as a share of all: one in this many. Reading a rank makes the whole group pause.
+const SAMPLED_DIVISOR: usize = 4;
+
+/// The least number of ranks whose demand is read.
+const MIN_SAMPLED: usize = 4;
+
+/// The time of a step that is assumed before one was measured, in milliseconds.
+const ASSUMED_STEP_MS: f64 = 60.0;
+
+/// The weight of a new measurement of the time of a step.
+const STEP_WEIGHT: f64 = 0.3;
+
+/// One lockstep group.
+#[derive(Debug)]
+pub(super) struct Group {
+    pub(super) name: String,
+    pub(super) epoch: u64,
+    /// The servers by rank.
+    pub(super) ranks: Vec<Arc<ServerRecord>>,
+    /// The layout in use.
+    pub(super) layout: ExpertLayout,
+    /// The highest version that a rank has had.
+    pub(super) version: u64,
+    pub(super) demand: ExpertDemand,
+    /// The last step that is known to have begun, and when it was seen.
+    pub(super) step: u64,
+    step_seen_at: Timestamp,
+    step_ms: f64,
+    /// The step from which the last switch is in force.
+    pub(super) switching_at: Option<u64>,
+    /// When the next layout may be planned.
+    pub(super) plan_at: Timestamp,
+}
+
+impl Group {
+    pub(super) fn new(
+        name: String,
+        ranks: Vec<(Arc<ServerRecord>, RankState)>,
+        layout: ExpertLayout,
+        engine: &EngineProfile,
+        now: Timestamp,
+    ) -> Self {
+        let versions = ranks.iter().map(|(_, state)| state.map.max(state.prepared.unwrap_or(0)));
+        Self {
+            name,
+            epoch: ranks.first().map_or(0, |(_, state)| state.epoch),
+            version: versions.max().unwrap_or(0),
+            step: ranks.iter().map(|(_, state)| state.step).max().unwrap_or(0),
+            ranks: ranks.into_iter().map(|(server, _)| server).collect(),
+            layout,
+            demand: ExpertDemand::new(engine.sets.into(), engine.experts.into(), now),
+            step_seen_at: now,
+            step_ms: ASSUMED_STEP_MS,
+            switching_at: None,
+            plan_at: now,
+        }
+    }
+
+    /// Returns the ranks whose demand is read.
+    pub(super) fn sampled_ranks(&self) -> impl Iterator<Item = usize> + use<> {
+        let all = self.ranks.len();
+        let sampled = (all / SAMPLED_DIVISOR).max(MIN_SAMPLED).min(all).max(1);
+        (0..sampled).map(move |i| i * all / sampled)
+    }
+
+    /// Notes the last step that was begun.
+    pub(super) fn note_step(&mut self, step: u64, now: Timestamp) {
+        if step > self.step {
+            let ms = now.millis_since(self.step_seen_at) as f64 / (step - self.step) as f64;
+            self.step_ms += STEP_WEIGHT * (ms - self.step_ms);
+            self.step = step;
+            self.step_seen_at = now;
+        }
+    }
+
+    /// Returns how many steps begin within `ms` milliseconds.
+    pub(super) fn steps_within(&self, ms: f64) -> u64 {
+        (ms / self.step_ms.max(1.0)).ceil() as u64
+    }
+
+    /// Returns the step that has probably begun by now.
+    pub(super) fn estimated_step(&self, now: Timestamp) -> u64 {
+        self.step + (now.millis_since(self.step_seen_at) as f64 / self.step_ms.max(1.0)) as u64
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/groups/mod.rs
@@ -0,0 +1,12 @@
+//! Keeps the expert maps of lockstep groups in line with demand.
+//!
+//! One instance at a time coordinates: the one that holds the duty in the store.
+
+mod control;
+mod coordinator;
+mod group;
+mod orders;
+
+pub use control::{DemandSample, EngineControl, EngineError, RankLists};
+
+pub(crate) use coordinator::run;
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -13,9 +13,12 @@
 mod daemon;
 mod dialect;
 mod drain;
+mod duty;
 mod follow;
 mod gateway;
+mod groups;
 mod http;
+mod membership;
 mod meters;
 mod request;
 mod settings;
@@ -26,5 +29,9 @@
 pub use client::{CallError, CallResponse, HttpClient};
 pub use daemon::{StartError, run};
 pub use dialect::Dialect;
+pub use groups::{DemandSample, EngineControl, EngineError, RankLists};
+pub use membership::LEASE_MS;
 pub use settings::GatewaySettings;
-pub use source::{ConfigSource, ServerSource, ServerUpdate, SourceError};
+pub use source::{
+    ConfigSource, MembershipSource, MembershipView, Platform, ServerSource, ServerUpdate, SourceError,
+};
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/membership.rs
@@ -0,0 +1,50 @@
+//! Keeps this instance a member of the instances, and learns who coordinates.
+
+use std::{sync::Arc, time::Duration};
+
+use smol::Timer;
+
+use crate::{MembershipSource, duty::boot_now, gateway::Gateway};
+
+/// The interval of the renewals.
+const RENEW: Duration = Duration::from_millis(1_000);
+
+/// The interval after a failed renewal.
+const RETRY: Duration = Duration::from_millis(400);
+
+/// The time for which a renewal holds, in milliseconds. Another instance takes the duty over after it.
+pub const LEASE_MS: u64 = 3_000;
+
+/// The part of a lease that is not used, in milliseconds, because the store counts from the arrival of the call.
+const LEASE_MARGIN_MS: u64 = 200;
+
+/// Renews the membership for ever.
+pub(crate) async fn run<M: MembershipSource>(gateway: Arc<Gateway>, mut source: M) {
+    loop {
+        let asked_at = boot_now();
+        let pause = match source.renew().await {
+            Ok(view) => {
+                if view.holds_duty {
+                    gateway.duty().hold(asked_at.plus_millis(LEASE_MS - LEASE_MARGIN_MS), view.term);
+                } else {
+                    gateway.duty().lose();
+                }
+                if gateway.instances() != view.instances {
+                    log::info!(instances = view.instances, term = view.term; "membership: changed");
+                }
+                gateway.set_instances(view.instances);
+                RENEW
+            }
+            Err(error) => {
+                log::debug!("membership: not renewed: {error}");
+                RETRY
+            }
+        };
+        if gateway.is_draining() {
+            source.leave().await;
+            gateway.duty().lose();
+            return;
+        }
+        Timer::after(pause).await;
+    }
+}
--- a/crates/fuchsiabay-gateway/src/source.rs
+++ b/crates/fuchsiabay-gateway/src/source.rs
@@ -4,6 +4,8 @@
 
 use fuchsiabay_balancer::{ServerChange, ServerRecord, ServingConfig};
 
+use crate::EngineControl;
+
 /// Why a source gave nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(thiserror::Error)]
@@ -36,3 +38,47 @@
     /// Returns what changed since the last call.
     fn poll(&mut self) -> impl Future<Output = Result<ServerUpdate, SourceError>> + Send;
 }
+
+/// What a renewal of the membership told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct MembershipView {
+    /// The instances that are members.
+    pub instances: usize,
+    /// Whether this instance holds the duty of coordinating.
+    pub holds_duty: bool,
+    /// Numbers the changes of the membership. The holders of two terms differ.
+    pub term: u64,
+}
+
+/// Keeps this instance a member of the instances.
+pub trait MembershipSource: Send + 'static {
+    /// Renews the membership for [`LEASE_MS`](crate::LEASE_MS).
+    fn renew(&mut self) -> impl Future<Output = Result<MembershipView, SourceError>> + Send;
+
+    /// Leaves, so that another instance takes the duty over at once.
+    fn leave(&mut self) -> impl Future<Output = ()> + Send;
+}
+
+/// Everything that a gateway needs from where it runs.
+pub trait Platform {
+    /// Follows the configuration.
+    type Config: ConfigSource;
+    /// Follows the directory.
+    type Servers: ServerSource;
+    /// Keeps the membership.
+    type Membership: MembershipSource;
+    /// Reaches the engines.
+    type Engines: EngineControl;
+
+    /// Returns the source of the configuration.
+    fn config(&self) -> Self::Config;
+
+    /// Returns the source of the directory.
+    fn servers(&self) -> Self::Servers;
+
+    /// Returns the membership.
+    fn membership(&self) -> Self::Membership;
+
+    /// Returns the way to the engines.
+    fn engines(&self) -> Self::Engines;
+}
