--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/agent.rs
@@ -0,0 +1,165 @@
+//! The agent beside an engine: passes the coordinator's questions and orders on to the engine of its own instance.
+//!
+//! An engine answers its own instance at no cost to its group, while a question from elsewhere makes every rank pause.
+
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+
+use async_global_executor::GlobalExecutorConfig;
+use fuchsiabay_runtime::{monotonic_now, sleep_until, spawn};
+use futures_lite::FutureExt;
+use parking_lot::Mutex;
+use smol::net::{TcpListener, TcpStream};
+
+use crate::{
+    CallResponse, HttpClient, StartError,
+    http::{BodyReader, RequestHead, Wire},
+    signals::{Order, Orders},
+};
+
+/// The time that the engine may take for a call, in milliseconds.
+const CALL_TIMEOUT_MS: u64 = 180;
+
+/// The time for which a connection may be idle, in milliseconds. The coordinator asks several times a second.
+const IDLE_MS: u64 = 20_000;
+
+/// The largest order, in bytes. A map of 64 ranks and 256 experts a layer has some 100 KB.
+const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
+
+/// The longest head, in bytes.
+const MAX_HEAD_BYTES: usize = 16 * 1024;
+
+/// Connections to the engine that are kept.
+const MAX_CLIENTS: usize = 2;
+
+/// The pause after a failed accept.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// The settings of an agent.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// The name of the instance.
+    pub instance: String,
+    /// Where the coordinator reaches the agent.
+    pub listen: SocketAddr,
+    /// The engine.
+    pub engine: SocketAddr,
+    /// The paths that are passed on begin with this.
+    pub path_prefix: &'static str,
+}
+
+struct Agent {
+    settings: AgentSettings,
+    clients: Mutex<Vec<HttpClient>>,
+}
+
+/// Runs an agent until it is told to stop. `reload` is called at every SIGHUP.
+pub fn run_agent(settings: AgentSettings, reload: impl Fn()) -> Result<(), StartError> {
+    async_global_executor::init_with_config(
+        GlobalExecutorConfig::default().with_min_threads(1).with_max_threads(1),
+    );
+    async_global_executor::block_on(serve(settings, reload))
+}
+
+async fn serve(settings: AgentSettings, reload: impl Fn()) -> Result<(), StartError> {
+    let mut orders = Orders::new().map_err(StartError::Signals)?;
+    let listen = settings.listen;
+    let listener = TcpListener::bind(listen).await.map_err(|error| StartError::Listen(listen, error))?;
+    log::info!(
+        instance = settings.instance.as_str(), listen:% = listen, engine:% = settings.engine,
+        version = env!("CARGO_PKG_VERSION");
+        "agent: started"
+    );
+    let agent = Arc::new(Agent { settings, clients: Mutex::default() });
+    spawn(accept(agent, listener)).detach();
+    while orders.next().await == Order::Reload {
+        reload();
+    }
+    // Nothing is kept here that could be lost: the coordinator asks the engine itself when the agent is gone.
+    log::info!("agent: stopped");
+    Ok(())
+}
+
+async fn accept(agent: Arc<Agent>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => spawn(connection(agent.clone(), stream)).detach(),
+            Err(error) => {
+                log::warn!("agent: accept failed: {error}");
+                smol::Timer::after(ACCEPT_RETRY).await;
+            }
+        }
+    }
+}
+
+async fn connection(agent: Arc<Agent>, stream: TcpStream) {
+    let mut wire = Wire::new(stream);
+    loop {
+        let idle = async {
+            sleep_until(monotonic_now().plus_millis(IDLE_MS)).await;
+            None
+        };
+        let Some((head, body)) = read_request(&mut wire).or(idle).await else {
+            return;
+        };
+        let response = agent.call(&head, &body).await;
+        let bytes = encode(response.as_ref());
+        if wire.write_all(&bytes).await.is_err() || !head.keeps_alive {
+            return;
+        }
+    }
+}
+
+async fn read_request(wire: &mut Wire) -> Option<(RequestHead, Vec<u8>)> {
+    loop {
+        if let Some((head, len)) = RequestHead::parse(wire.data()).ok()? {
+            wire.consume(len);
+            let body = BodyReader::new(head.framing).read_to_end(wire, MAX_BODY_BYTES).await.ok()?;
+            return Some((head, body));
+        }
+        if wire.data().len() > MAX_HEAD_BYTES || wire.fill().await.ok()? == 0 {
+            return None;
+        }
+    }
+}
+
+impl Agent {
+    /// Passes a call on. Returns None when the engine gave no answer, which says nothing about the effect.
+    async fn call(&self, head: &RequestHead, body: &[u8]) -> Option<CallResponse> {
+        if !head.target.starts_with(self.settings.path_prefix) {
+            return Some(CallResponse { status: 404, body: Vec::new() });
+        }
+        let kept = self.clients.lock().pop();
+        let mut client = kept.unwrap_or_else(|| HttpClient::new(self.settings.engine));
+        let deadline = monotonic_now().plus_millis(CALL_TIMEOUT_MS);
+        let result = if head.method == "POST" {
+            let content_type = head.headers.find("content-type").unwrap_or("application/json");
+            client.post(&head.target, content_type, body, deadline).await
+        } else {
+            client.get(&head.target, deadline).await
+        };
+        match result {
+            Ok(response) => {
+                let mut clients = self.clients.lock();
+                if clients.len() < MAX_CLIENTS {
+                    clients.push(client);
+                }
+                Some(response)
+            }
+            Err(error) => {
+                log::info!(path = head.target.as_str(), error:% = error; "agent: engine gave no answer");
+                None
+            }
+        }
+    }
+}
+
+fn encode(response: Option<&CallResponse>) -> Vec<u8> {
+    let (status, body) = response.map_or((504, &[][..]), |response| (response.status, &response.body));
+    let mut out = format!(
+        "HTTP/1.1 {status} Response\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    )
+    .into_bytes();
+    out.extend_from_slice(body);
+    out
+}
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -7,6 +7,7 @@
 //! Invariants kept here: a refusal with 429 or 503 is sent only when the request provably did not run; bytes of a
 //! response reach only the caller whose request id the server echoed; a response that ended early never looks whole.
 
+mod agent;
 mod backend;
 mod caller;
 mod client;
@@ -26,6 +27,7 @@
 mod signals;
 mod source;
 
+pub use agent::{AgentSettings, run_agent};
 pub use client::{CallError, CallResponse, HttpClient};
 pub use daemon::{StartError, run};
 pub use dialect::Dialect;
