--- a/crates/fuchsiabay-gateway/src/groups/control.rs
+++ b/crates/fuchsiabay-gateway/src/groups/control.rs
@@ -40,6 +40,9 @@
 
 /// Asks engines and gives them orders.
 pub trait EngineControl: Send + Sync + 'static {
+    /// Returns whether asking the server costs its group nothing.
+    fn is_near(&self, server: &ServerRecord) -> bool;
+
     /// Returns the group that the server belongs to, with its state. None for a server that is in no group.
     fn state(
         &self,
--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -24,7 +24,7 @@
 use crate::gateway::Gateway;
 
 /// The interval in which demand is read. Shorter ones cost more pauses than they save.
-const SAMPLE: Duration = Duration::from_millis(500);
+const SAMPLE: Duration = Duration::from_millis(250);
 
 /// The pause after groups could not be read, or none is open.
 const REST: Duration = Duration::from_millis(300);
@@ -216,7 +216,7 @@
 /// Reads the demand of some ranks. Returns false when the group has changed and must be found anew.
 async fn sample<E: EngineControl>(engines: &Arc<E>, group: &mut Group) -> bool {
     let mut tasks = Vec::new();
-    for rank in group.sampled_ranks() {
+    for rank in group.sampled_ranks(|server| engines.is_near(server)) {
         let (engines, server) = (engines.clone(), group.ranks[rank].clone());
         tasks.push((rank, spawn(async move { engines.demand(&server).await })));
     }
--- a/crates/fuchsiabay-gateway/src/groups/group.rs
+++ b/crates/fuchsiabay-gateway/src/groups/group.rs
@@ -6,7 +6,8 @@
 use fuchsiabay_base::Timestamp;
 use fuchsiabay_lockstep::{ExpertDemand, ExpertLayout, RankState};
 
-/// The ranks whose demand is read, as a share of all: one in this many. Reading a rank makes the whole group pause.
+/// The ranks whose demand is read at least, as a share of all: one in this many. Reading a rank from another instance makes
+/// the whole group pause.
 const SAMPLED_DIVISOR: usize = 4;
 
 /// The least number of ranks whose demand is read.
@@ -64,11 +65,15 @@
         }
     }
 
-    /// Returns the ranks whose demand is read.
-    pub(super) fn sampled_ranks(&self) -> impl Iterator<Item = usize> + use<> {
+    /// Returns the ranks whose demand is read: all that `is_near` accepts, and some others if those are few.
+    pub(super) fn sampled_ranks(&self, is_near: impl Fn(&ServerRecord) -> bool) -> Vec<usize> {
         let all = self.ranks.len();
-        let sampled = (all / SAMPLED_DIVISOR).max(MIN_SAMPLED).min(all).max(1);
-        (0..sampled).map(move |i| i * all / sampled)
+        let near: Vec<usize> = (0..all).filter(|rank| is_near(&self.ranks[*rank])).collect();
+        let least = (all / SAMPLED_DIVISOR).max(MIN_SAMPLED).min(all);
+        if near.len() >= least {
+            return near;
+        }
+        (0..least).map(|i| i * all / least).collect()
     }
 
     /// Notes the last step that was begun.
