--- a/crates/fuchsiabay-balancer/src/directory.rs
+++ b/crates/fuchsiabay-balancer/src/directory.rs
@@ -101,7 +101,8 @@
         changed
     }
 
-    fn heartbeat(&mut self, record: ServerRecord, _now: Timestamp) -> bool {
+    fn heartbeat(&mut self, record: ServerRecord, now: Timestamp) -> bool {
+        self.supersede(&record, now);
         let Some(entry) = self.entries.get_mut(&record.id) else {
             self.entries.insert(record.id.clone(), Entry { record: Arc::new(record), gone_at: None });
             return true;
@@ -119,6 +120,17 @@
         true
     }
 
+    /// Removes the servers that had the address of `record` before it. The entry of a server that crashed stays for seconds
+    /// after the next one has started in its place.
+    fn supersede(&mut self, record: &ServerRecord, now: Timestamp) {
+        for (id, entry) in &mut self.entries {
+            let is_former = entry.record.address == record.address && entry.record.born_ms < record.born_ms;
+            if *id != record.id && is_former && entry.gone_at.is_none() {
+                entry.gone_at = Some(now);
+            }
+        }
+    }
+
     fn remove(&mut self, id: &InstanceId, now: Timestamp) -> bool {
         let Some(entry) = self.entries.get_mut(id) else {
             return false;
--- a/crates/fuchsiabay-balancer/src/pool/commands.rs
+++ b/crates/fuchsiabay-balancer/src/pool/commands.rs
@@ -119,6 +119,18 @@
         }
     }
 
+    /// Blocks a server, because it cannot run anything until `until`, or unblocks it.
+    pub fn set_blocked(&mut self, server: &InstanceId, until: Option<Timestamp>) {
+        if let Some(member) = self.member(server) {
+            member.set_blocked(until);
+        }
+    }
+
+    /// Blocks every server until `until`. The ranks of a group stop together, so the next one would refuse, too.
+    pub fn block_all(&mut self, until: Timestamp) {
+        self.members.iter_mut().for_each(|member| member.set_blocked(Some(until)));
+    }
+
     /// Gives free places to waiting jobs.
     pub fn dispatch(&mut self, now: Timestamp) -> Vec<(JobId, Grant)> {
         let mut grants = Vec::new();
--- a/crates/fuchsiabay-balancer/src/pool/member.rs
+++ b/crates/fuchsiabay-balancer/src/pool/member.rs
@@ -23,6 +23,8 @@
     reported_at: Option<Timestamp>,
     /// Until when the server says that it is full.
     full_until: Option<Timestamp>,
+    /// Until when it cannot run anything, because its group is not open or another server has its address.
+    blocked_until: Option<Timestamp>,
     /// Whether it has left the directory. It is kept until its last request ends.
     pub(super) is_leaving: bool,
 }
@@ -37,6 +39,7 @@
             others: 0,
             reported_at: None,
             full_until: None,
+            blocked_until: None,
             is_leaving: false,
         }
     }
@@ -79,7 +82,19 @@
         self.full_until = Some(until);
     }
 
+    /// Blocks the server until `until`, or unblocks it.
+    pub(super) fn set_blocked(&mut self, until: Option<Timestamp>) {
+        self.blocked_until = until;
+    }
+
+    pub(super) fn is_blocked(&self, now: Timestamp) -> bool {
+        self.blocked_until.is_some_and(|until| until > now)
+    }
+
     pub(super) fn is_choosable(&self, now: Timestamp) -> bool {
-        !self.is_leaving && self.full_until.is_none_or(|until| until <= now) && self.health.is_usable(now)
+        !self.is_leaving
+            && !self.is_blocked(now)
+            && self.full_until.is_none_or(|until| until <= now)
+            && self.health.is_usable(now)
     }
 }
--- a/crates/fuchsiabay-balancer/src/pool/queries.rs
+++ b/crates/fuchsiabay-balancer/src/pool/queries.rs
@@ -37,6 +37,11 @@
         self.members.iter().filter(|member| !member.is_leaving).map(|member| &member.record)
     }
 
+    /// Returns whether a server is blocked.
+    pub fn has_blocked(&self, now: Timestamp) -> bool {
+        self.members.iter().any(|member| !member.is_leaving && member.is_blocked(now))
+    }
+
     /// Returns the places of the servers that are not leaving, and how many of them are taken.
     pub fn places(&self, now: Timestamp) -> (u32, u32) {
         let present = || self.members.iter().filter(|member| !member.is_leaving);
--- a/crates/fuchsiabay-gateway/src/daemon.rs
+++ b/crates/fuchsiabay-gateway/src/daemon.rs
@@ -60,7 +60,9 @@
     spawn(follow::follow_config(gateway.clone(), platform.config())).detach();
     spawn(follow::follow_servers(gateway.clone(), platform.servers())).detach();
     spawn(membership::run(gateway.clone(), platform.membership())).detach();
-    spawn(groups::run(gateway.clone(), Arc::new(platform.engines()))).detach();
+    let engines = Arc::new(platform.engines());
+    spawn(groups::run(gateway.clone(), engines.clone())).detach();
+    spawn(groups::watch(gateway.clone(), engines)).detach();
     spawn(follow::tick(gateway.clone())).detach();
     let accept = spawn(caller::serve(gateway.clone(), listener));
     log::info!(
--- a/crates/fuchsiabay-gateway/src/groups/mod.rs
+++ b/crates/fuchsiabay-gateway/src/groups/mod.rs
@@ -6,7 +6,9 @@
 mod coordinator;
 mod group;
 mod orders;
+mod watch;
 
 pub use control::{DemandSample, EngineControl, EngineError, RankLists};
 
 pub(crate) use coordinator::run;
+pub(crate) use watch::run as watch;
--- a/crates/fuchsiabay-gateway/src/request/course.rs
+++ b/crates/fuchsiabay-gateway/src/request/course.rs
@@ -21,6 +21,9 @@
 /// come well within the goal, and the second attempt still has time before the deadline.
 const HEDGE_PERCENT: u64 = 150;
 
+/// How often a request may meet a server that can run nothing before it is given up. Each time counts against the budget.
+const MAX_TURNED_AWAY: u32 = 3;
+
 /// The least time that a further attempt must have, in milliseconds.
 const MIN_ATTEMPT_MS: u64 = 20;
 
@@ -39,6 +42,8 @@
     /// Whether part of the response has reached the caller.
     pub(super) is_resumption: bool,
     waited_ms: u64,
+    /// How often a server or its group could run nothing.
+    turned_away: u32,
 }
 
 impl<'a> Course<'a> {
@@ -53,6 +58,7 @@
             last_event_id: req.last_event_id.clone(),
             is_resumption: false,
             waited_ms: 0,
+            turned_away: 0,
         }
     }
 
@@ -64,9 +70,7 @@
                 Ok(attempt) => return Ok((lease, attempt)),
                 Err(failure) => {
                     lease.set_outcome(failure.outcome());
-                    if failure.kind == FailureKind::Full {
-                        self.call.shard.note_full(&lease.grant.server.id);
-                    }
+                    self.note_refusal(&lease.grant.server.id, failure.kind);
                     let server = lease.grant.server.id.clone();
                     drop(lease);
                     self.after_failure(&server, failure)?;
@@ -83,9 +87,18 @@
         if failure.kind == FailureKind::Broken {
             self.call.shard.note_crash(self.call.fingerprint, now);
         }
-        if failure.kind == FailureKind::Connect {
-            self.tried.retain(|tried| tried != server);
-            self.unreachable.push(server.clone());
+        match failure.kind {
+            FailureKind::Connect => {
+                self.tried.retain(|tried| tried != server);
+                self.unreachable.push(server.clone());
+            }
+            // The server said that nothing of it can run the request now, so it does not count as one of the servers that
+            // the request was tried at.
+            FailureKind::Unavailable | FailureKind::Misdirected => {
+                self.tried.retain(|tried| tried != server);
+                self.turned_away += 1;
+            }
+            _ => {}
         }
         let allowed = self.may_send_again(failure, now);
         log::info!(
@@ -211,6 +224,18 @@
         Ok(result)
     }
 
+    /// Takes over what a failure says about the state of the server or its group.
+    fn note_refusal(&self, server: &InstanceId, kind: FailureKind) {
+        let shard = &self.call.shard;
+        match kind {
+            FailureKind::Full => shard.note_full(server),
+            FailureKind::Unavailable => shard.note_unavailable(),
+            FailureKind::Misdirected => shard.note_misdirected(server),
+            FailureKind::Broken | FailureKind::Connect => shard.suspect(),
+            FailureKind::Garbled | FailureKind::Slow | FailureKind::ServerError => {}
+        }
+    }
+
     /// Returns when an attempt counts as slow. Only an idempotent plain request that has another attempt is moved.
     fn slow_at(&self) -> Timestamp {
         let route = &self.call.route;
@@ -224,7 +249,8 @@
     fn may_send_again(&self, failure: Failure, now: Timestamp) -> bool {
         let call = self.call;
         let is_harmless = self.verdict.max(failure.verdict) == Verdict::NotRun || call.kind().is_idempotent();
-        let has_attempt = (self.tried.len() as u32) < call.route.attempts;
+        let has_attempt =
+            (self.tried.len() as u32) < call.route.attempts && self.turned_away <= MAX_TURNED_AWAY;
         let has_time = call.end_at.millis_since(now) >= MIN_ATTEMPT_MS;
         if !is_harmless || !has_attempt || !has_time {
             return false;
--- a/crates/fuchsiabay-gateway/src/request/stream.rs
+++ b/crates/fuchsiabay-gateway/src/request/stream.rs
@@ -99,6 +99,7 @@
     lease.set_outcome(failure.outcome());
     let server = lease.grant.server.id.clone();
     drop(lease);
+    course.call.shard.suspect();
     relay.events.restart();
     if let Some(id) = relay.events.last_id() {
         course.last_event_id = Some(id.to_string());
--- a/crates/fuchsiabay-gateway/src/shard.rs
+++ b/crates/fuchsiabay-gateway/src/shard.rs
@@ -1,6 +1,12 @@
 //! The state of one service, under one lock.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{
+    collections::HashMap,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
 
 use fuchsiabay_balancer::{
     Admission, CrashLedger, EngineProfile, Grant, Job, JobId, Outcome, Pool, PoolSnapshot, Refusal,
@@ -11,10 +17,20 @@
 use parking_lot::Mutex;
 use smol::channel::{Receiver, Sender};
 
+/// The time for which servers of a group that is not open get no requests, in milliseconds. It is extended while the group
+/// stays closed.
+const BLOCK_MS: u64 = 1_000;
+
+/// The time for which a server gets no requests after another one answered at its address, in milliseconds. The directory
+/// drops it within this time.
+const MISDIRECTED_MS: u64 = 5_000;
+
 /// The state of one service.
 #[derive(Debug)]
 pub(crate) struct ServiceShard {
     name: ServiceName,
+    /// Whether something suggests that a group of the service is not open.
+    is_suspect: AtomicBool,
     state: Mutex<State>,
 }
 
@@ -44,7 +60,7 @@
             crashes: CrashLedger::default(),
             waiters: HashMap::new(),
         };
-        Self { name, state: Mutex::new(state) }
+        Self { name, is_suspect: AtomicBool::new(false), state: Mutex::new(state) }
     }
 
     pub(crate) fn name(&self) -> &ServiceName {
@@ -106,6 +122,39 @@
         self.state.lock().pool.note_full(server, monotonic_now());
     }
 
+    /// Notes that the group of a server is not open. Until the groups were looked at, no server gets a request.
+    pub(crate) fn note_unavailable(&self) {
+        self.state.lock().pool.block_all(monotonic_now().plus_millis(BLOCK_MS));
+        self.suspect();
+    }
+
+    /// Notes that another server has the address of `server`.
+    pub(crate) fn note_misdirected(&self, server: &InstanceId) {
+        let until = monotonic_now().plus_millis(MISDIRECTED_MS);
+        self.state.lock().pool.set_blocked(server, Some(until));
+    }
+
+    /// Asks for a look at the groups of the service.
+    pub(crate) fn suspect(&self) {
+        self.is_suspect.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the groups of the service should be looked at.
+    pub(crate) fn take_suspicion(&self) -> bool {
+        self.is_suspect.swap(false, Ordering::Relaxed) || self.state.lock().pool.has_blocked(monotonic_now())
+    }
+
+    /// Takes over which servers belong to open groups.
+    pub(crate) fn note_groups(&self, servers: &[(InstanceId, bool)]) {
+        let now = monotonic_now();
+        let mut state = self.state.lock();
+        for (server, is_open) in servers {
+            state.pool.set_blocked(server, (!is_open).then(|| now.plus_millis(BLOCK_MS)));
+        }
+        let grants = state.pool.dispatch(now);
+        state.deliver(grants);
+    }
+
     pub(crate) fn note_others(&self, others: &HashMap<InstanceId, u32>) {
         let mut state = self.state.lock();
         let grants = state.pool.note_others(others, monotonic_now());
