--- a/crates/fuchsiabay-gateway/src/agent.rs
+++ b/crates/fuchsiabay-gateway/src/agent.rs
@@ -31,6 +31,9 @@
 /// Connections to the engine that are kept.
 const MAX_CLIENTS: usize = 2;
 
+/// Names another engine than the agent's own as the receiver of an order.
+pub const ENGINE_HEADER: &str = "Fuchsiabay-Engine";
+
 /// The pause after a failed accept.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
@@ -128,8 +131,14 @@
         if !head.target.starts_with(self.settings.path_prefix) {
             return Some(CallResponse { status: 404, body: Vec::new() });
         }
-        let kept = self.clients.lock().pop();
-        let mut client = kept.unwrap_or_else(|| HttpClient::new(self.settings.engine));
+        let engine = match head.headers.find(ENGINE_HEADER).map(str::parse) {
+            None => self.settings.engine,
+            Some(Ok(engine)) => engine,
+            Some(Err(_)) => return Some(CallResponse { status: 400, body: Vec::new() }),
+        };
+        let is_own = engine == self.settings.engine;
+        let kept = if is_own { self.clients.lock().pop() } else { None };
+        let mut client = kept.unwrap_or_else(|| HttpClient::new(engine));
         let deadline = monotonic_now().plus_millis(CALL_TIMEOUT_MS);
         let result = if head.method == "POST" {
             let content_type = head.headers.find("content-type").unwrap_or("application/json");
@@ -140,7 +149,7 @@
         match result {
             Ok(response) => {
                 let mut clients = self.clients.lock();
-                if clients.len() < MAX_CLIENTS {
+                if is_own && clients.len() < MAX_CLIENTS {
                     clients.push(client);
                 }
                 Some(response)
--- a/crates/fuchsiabay-gateway/src/client.rs
+++ b/crates/fuchsiabay-gateway/src/client.rs
@@ -79,9 +79,21 @@
         content_type: &str,
         body: &[u8],
         deadline: Timestamp,
+    ) -> Result<CallResponse, CallError> {
+        self.post_with(target, content_type, "", body, deadline).await
+    }
+
+    /// Sends `body` to `target` with further header lines, each with its line end.
+    pub async fn post_with(
+        &mut self,
+        target: &str,
+        content_type: &str,
+        lines: &str,
+        body: &[u8],
+        deadline: Timestamp,
     ) -> Result<CallResponse, CallError> {
         let mut bytes = format!(
-            "POST {target} HTTP/1.1\r\nHost: {}\r\nContent-Type: {content_type}\r\nContent-Length: {}\r\n\r\n",
+            "POST {target} HTTP/1.1\r\nHost: {}\r\nContent-Type: {content_type}\r\n{lines}Content-Length: {}\r\n\r\n",
             self.addr,
             body.len()
         )
--- a/crates/fuchsiabay-gateway/src/groups/control.rs
+++ b/crates/fuchsiabay-gateway/src/groups/control.rs
@@ -56,10 +56,11 @@
     /// Returns the experts of the rank.
     fn lists(&self, server: &ServerRecord) -> impl Future<Output = Result<RankLists, EngineError>> + Send;
 
-    /// Gives an order that is void in another epoch.
+    /// Gives an order that is void in another epoch, if possible from the instance of `via`.
     fn order(
         &self,
         server: &ServerRecord,
+        via: &ServerRecord,
         epoch: u64,
         order: &Order,
     ) -> impl Future<Output = OrderReply> + Send;
--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -1,7 +1,7 @@
 //! The coordinator of the groups of all services.
 
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -325,12 +325,15 @@
             switch.note_reply(rank, &order, reply, monotonic_now());
         }
         if switch.needs_states() {
+            let mut missing: BTreeSet<usize> = (0..group.ranks.len()).collect();
             for (_, name, state) in read_states(engines, &group.ranks).await {
                 if name != group.name || state.epoch != group.epoch {
                     return SwitchEnd::GivenUp("the group was formed anew");
                 }
+                missing.remove(&usize::from(state.rank));
                 switch.note_state(usize::from(state.rank), &state, monotonic_now());
             }
+            missing.into_iter().for_each(|rank| switch.note_unreachable(rank));
         }
     }
 }
--- a/crates/fuchsiabay-gateway/src/groups/orders.rs
+++ b/crates/fuchsiabay-gateway/src/groups/orders.rs
@@ -18,7 +18,8 @@
     let mut tasks = Vec::with_capacity(orders.len());
     for (rank, order) in orders {
         let (engines, server, sent) = (engines.clone(), ranks[rank].clone(), order.clone());
-        let task = spawn(async move { engines.order(&server, epoch, &sent).await });
+        let via = ranks[via_rank(rank, &order, ranks.len())].clone();
+        let task = spawn(async move { engines.order(&server, &via, epoch, &sent).await });
         tasks.push((rank, order, task));
     }
     let mut replies = Vec::with_capacity(tasks.len());
@@ -37,6 +38,17 @@
     replies
 }
 
+/// Returns the rank whose instance gives `order` to `rank`.
+///
+/// A hold comes from another instance than the one that it holds. If the instance that gave it stops right afterwards, the
+/// held rank can still be told to go on.
+fn via_rank(rank: usize, order: &Order, ranks: usize) -> usize {
+    match order {
+        Order::Hold { .. } => (rank + 1) % ranks,
+        _ => rank,
+    }
+}
+
 /// Asks `servers` for their states. Servers that do not answer are left out.
 pub(super) async fn read_states<E: EngineControl>(
     engines: &Arc<E>,
--- a/crates/fuchsiabay-gateway/src/groups/watch.rs
+++ b/crates/fuchsiabay-gateway/src/groups/watch.rs
@@ -35,7 +35,9 @@
             }
             let view: Vec<(InstanceId, bool)> = states
                 .iter()
-                .map(|(server, group, state)| (server.id.clone(), open_ranks[group.as_str()] >= state.size.max(1)))
+                .map(|(server, group, state)| {
+                    (server.id.clone(), open_ranks[group.as_str()] >= state.size.max(1))
+                })
                 .collect();
             let closed = view.iter().filter(|(_, is_open)| !is_open).count();
             log::info!(service = shard.name().as_str(), asked = servers.len(), answered = view.len(), closed; "group: looked at");
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -27,7 +27,7 @@
 mod signals;
 mod source;
 
-pub use agent::{AgentSettings, run_agent};
+pub use agent::{AgentSettings, ENGINE_HEADER, run_agent};
 pub use client::{CallError, CallResponse, HttpClient};
 pub use daemon::{StartError, run};
 pub use dialect::Dialect;
--- a/crates/fuchsiabay-lockstep/src/switch.rs
+++ b/crates/fuchsiabay-lockstep/src/switch.rs
@@ -42,6 +42,7 @@
 enum Phase {
     Preparing,
     Holding { step: u64 },
+    Verifying { step: u64 },
     Arming { step: u64 },
     Releasing { step: u64, switched: bool },
     Disarming { step: u64 },
@@ -59,8 +60,8 @@
     may_be_armed: bool,
 }
 
-/// Drives one switch: prepare on all ranks, hold on one, arm on all, release. The caller sends the orders and reports the
-/// replies.
+/// Drives one switch: prepare on all ranks, hold on one, look at all, arm on all, release. The caller sends the orders and
+/// reports the replies.
 #[derive(Clone, Debug)]
 pub struct MapSwitch {
     version: u64,
@@ -95,6 +96,7 @@
         match self.phase {
             Phase::Preparing => "preparing",
             Phase::Holding { .. } => "holding",
+            Phase::Verifying { .. } => "verifying",
             Phase::Arming { .. } => "arming",
             Phase::Releasing { .. } => "releasing",
             Phase::Disarming { .. } => "disarming",
@@ -106,7 +108,7 @@
     pub fn poll(&mut self, now: Timestamp) -> Vec<(usize, Order)> {
         self.advance(now);
         let order = match self.phase {
-            Phase::Ended(_) => return Vec::new(),
+            Phase::Ended(_) | Phase::Verifying { .. } => return Vec::new(),
             Phase::Holding { step } => return self.poll_hold_rank(Order::Hold { step }, now),
             Phase::Releasing { step, .. } => return self.poll_hold_rank(Order::Release { step }, now),
             Phase::Preparing => Order::Prepare { version: self.version, layout: self.layout.clone() },
@@ -156,8 +158,9 @@
         match self.phase {
             Phase::Preparing if state.prepared == Some(self.version) => self.ranks[rank].is_done = true,
             Phase::Holding { step } if rank == self.hold_rank && state.held == Some(step) => {
-                self.start_arming(step);
+                self.start_phase(Phase::Verifying { step });
             }
+            Phase::Verifying { step } => self.verify(rank, step, state),
             Phase::Arming { step } if is_armed(state, self.version, step) => self.ranks[rank].is_done = true,
             _ => {}
         }
@@ -172,7 +175,30 @@
     /// Returns whether a reply is missing, so that the states of the ranks should be asked for.
     pub fn needs_states(&self) -> bool {
         let missing = self.ranks.iter().any(|progress| !progress.is_done && progress.conflicts > 0);
-        matches!(self.phase, Phase::Preparing | Phase::Arming { .. }) && missing
+        match self.phase {
+            Phase::Verifying { .. } => true,
+            Phase::Preparing | Phase::Arming { .. } => missing,
+            _ => false,
+        }
+    }
+
+    /// Notes that a rank did not tell its state.
+    ///
+    /// Between hold and arm this ends the switch: an arm order to a rank that cannot be asked could not be taken back, and the
+    /// group would stay held until the rank answers again.
+    pub fn note_unreachable(&mut self, rank: usize) {
+        if let Phase::Verifying { step } = self.phase {
+            self.ranks[rank].conflicts += 1;
+            self.start_phase(Phase::Releasing { step, switched: false });
+        }
+    }
+
+    fn verify(&mut self, rank: usize, step: u64, state: &RankState) {
+        if state.prepared != Some(self.version) || state.armed.is_some() {
+            self.start_phase(Phase::Releasing { step, switched: false });
+            return;
+        }
+        self.ranks[rank].is_done = true;
     }
 
     fn poll_hold_rank(&mut self, order: Order, now: Timestamp) -> Vec<(usize, Order)> {
@@ -194,7 +220,7 @@
 
     fn note_held(&mut self, step: u64, reply: OrderReply, now: Timestamp) {
         match reply {
-            OrderReply::Accepted => self.start_arming(step),
+            OrderReply::Accepted => self.start_phase(Phase::Verifying { step }),
             OrderReply::Conflict if self.hold_tries >= MAX_HOLD_STEPS => {
                 self.phase = Phase::Ended(SwitchEnd::GivenUp("no step could be held"));
             }
@@ -229,6 +255,7 @@
             Phase::Preparing if !all_done && now >= self.timing.prepare_by => {
                 self.phase = Phase::Ended(SwitchEnd::GivenUp("a rank could not be prepared"));
             }
+            Phase::Verifying { step } if all_done => self.start_arming(step),
             Phase::Arming { step } if all_done => {
                 self.start_phase(Phase::Releasing { step, switched: true });
             }
@@ -246,7 +273,7 @@
     }
 
     fn start_arming(&mut self, step: u64) {
-        invariant!("hold_before_arm", self.phase == Phase::Holding { step }, "phase {:?}", self.phase);
+        invariant!("hold_before_arm", self.phase == Phase::Verifying { step }, "phase {:?}", self.phase);
         self.start_phase(Phase::Arming { step });
     }
 
