Pass silent servers over, and move requests and experts off slow ranks

A server that begins no response for 700 ms while others do is passed over; reports of open groups and of the ranks' pace are read once a second through the agents.

--- a/crates/fuchsiabay-balancer/src/pool/commands.rs
+++ b/crates/fuchsiabay-balancer/src/pool/commands.rs
@@ -81,12 +81,36 @@
         self.waiting.take_expired(now)
     }
 
-    /// Gives a place back. Returns the jobs that get a place by it, and whether the server was ejected.
-    pub fn finish(&mut self, grant: &Grant, outcome: Outcome, now: Timestamp) -> (Vec<(JobId, Grant)>, bool) {
+    /// Notes that a server began its response to a request.
+    pub fn note_answered(&mut self, server: &InstanceId, now: Timestamp) {
+        self.answered_at = now;
+        if let Some(member) = self.member(server) {
+            member.note_answered(now);
+        }
+    }
+
+    /// Sets how much slower than usual a server works.
+    pub fn set_pace(&mut self, server: &InstanceId, pace: f64) {
+        if let Some(member) = self.member(server) {
+            member.pace = pace;
+        }
+    }
+
+    /// Gives a place back. `was_answered` tells whether the server had begun a response. Returns the jobs that get a place by it, and whether the server was ejected.
+    pub fn finish(
+        &mut self,
+        grant: &Grant,
+        outcome: Outcome,
+        was_answered: bool,
+        now: Timestamp,
+    ) -> (Vec<(JobId, Grant)>, bool) {
         self.demand.note_end(now);
         let mut ejected = false;
         if let Some(member) = self.member(&grant.server.id) {
             invariant!("place_returned_once", member.own > 0, "server {} has no request", grant.server.id);
+            if !was_answered {
+                member.note_answered(now);
+            }
             member.own = member.own.saturating_sub(1);
             member.own_tokens = member.own_tokens.saturating_sub(grant.tokens);
             if member.record.born_ms == grant.server.born_ms {
@@ -149,9 +173,7 @@
     fn take_place(&mut self, job: &Job, now: Timestamp) -> Option<Grant> {
         let (i, grant) = self.find_place(job, now)?;
         let member = &mut self.members[i];
-        member.own += 1;
-        member.own_tokens += grant.tokens;
-        member.health.note_sent();
+        member.note_sent(grant.tokens, now);
         Some(grant)
     }
 
--- a/crates/fuchsiabay-balancer/src/pool/member.rs
+++ b/crates/fuchsiabay-balancer/src/pool/member.rs
@@ -25,6 +25,12 @@
     full_until: Option<Timestamp>,
     /// Until when it cannot run anything, because its group is not open or another server has its address.
     blocked_until: Option<Timestamp>,
+    /// How much slower than usual the server works.
+    pub(super) pace: f64,
+    /// Requests whose response has not begun.
+    unanswered: u32,
+    /// Since when the server has not begun a response while some request waits for one.
+    silent_since: Option<Timestamp>,
     /// Whether it has left the directory. It is kept until its last request ends.
     pub(super) is_leaving: bool,
 }
@@ -40,6 +46,9 @@
             reported_at: None,
             full_until: None,
             blocked_until: None,
+            pace: 1.0,
+            unanswered: 0,
+            silent_since: None,
             is_leaving: false,
         }
     }
@@ -47,7 +56,13 @@
     /// Returns the member after its server started again. The requests sent to the former life still count until they
     /// end.
     pub(super) fn reborn(&self, record: Arc<ServerRecord>) -> Self {
-        Self { own: self.own, own_tokens: self.own_tokens, ..Self::new(record) }
+        Self {
+            own: self.own,
+            own_tokens: self.own_tokens,
+            unanswered: self.unanswered,
+            silent_since: self.silent_since,
+            ..Self::new(record)
+        }
     }
 
     /// Returns the requests that are believed to be at the server.
@@ -82,6 +97,26 @@
         self.full_until = Some(until);
     }
 
+    /// Notes that a request is sent.
+    pub(super) fn note_sent(&mut self, tokens: u64, now: Timestamp) {
+        self.own += 1;
+        self.own_tokens += tokens;
+        self.unanswered += 1;
+        self.silent_since.get_or_insert(now);
+        self.health.note_sent();
+    }
+
+    /// Notes that a response has begun, or that a request ended without one.
+    pub(super) fn note_answered(&mut self, now: Timestamp) {
+        self.unanswered = self.unanswered.saturating_sub(1);
+        self.silent_since = (self.unanswered > 0).then_some(now);
+    }
+
+    /// Returns for how long the server has not begun a response although one is due, in milliseconds.
+    pub(super) fn silent_ms(&self, now: Timestamp) -> u64 {
+        self.silent_since.map_or(0, |since| now.millis_since(since))
+    }
+
     /// Blocks the server until `until`, or unblocks it.
     pub(super) fn set_blocked(&mut self, until: Option<Timestamp>) {
         self.blocked_until = until;
--- a/crates/fuchsiabay-balancer/src/pool/mod.rs
+++ b/crates/fuchsiabay-balancer/src/pool/mod.rs
@@ -10,7 +10,7 @@
 mod snapshot;
 mod waiting;
 
-use fuchsiabay_base::ZoneName;
+use fuchsiabay_base::{Timestamp, ZoneName};
 
 use self::{demand::Demand, member::Member, waiting::Waiting};
 use crate::EngineProfile;
@@ -29,6 +29,8 @@
     waiting: Waiting,
     demand: Demand,
     next_job: u64,
+    /// When a server began a response last.
+    answered_at: Timestamp,
 }
 
 impl Pool {
@@ -41,6 +43,7 @@
             waiting: Waiting::default(),
             demand: Demand::default(),
             next_job: 0,
+            answered_at: Timestamp::ZERO,
         }
     }
 }
--- a/crates/fuchsiabay-balancer/src/pool/queries.rs
+++ b/crates/fuchsiabay-balancer/src/pool/queries.rs
@@ -11,6 +11,14 @@
 /// that can be on time.
 const LONGEST_LATE_WAIT_MS: u64 = 2_000;
 
+/// The time without any begun response after which a server is passed over, in milliseconds. It is three times what a first
+/// event takes when every place is taken.
+const STALL_MS: u64 = 700;
+
+/// The time within which another server must have begun a response, in milliseconds. If none does, the whole service is
+/// slow, and passing a server over helps nobody.
+const OTHERS_ANSWER_MS: u64 = 300;
+
 /// The part of what a plain request has left that it may wait, as a divisor.
 const WAIT_DIVISOR: u64 = 2;
 
@@ -55,12 +63,15 @@
         let fits = |member: &&(usize, &Member)| {
             let member = member.1;
             member.is_choosable(now)
+                && !self.is_member_stalled(member, now)
                 && member.load(now) < self.place_limit(member)
                 && !is_excluded(member, job)
         };
         let best = self.members.iter().enumerate().filter(|entry| fits(&entry)).min_by_key(|(_, member)| {
             let remote = member.record.zone != self.zone;
-            (member.load(now), member.own_tokens, remote, fastrand::u32(..))
+            // A slow server in a lockstep group slows every other one by the requests that it gets.
+            let cost = f64::from(member.load(now) + 1) * member.pace;
+            ((cost * 100.0) as u64, member.own_tokens, remote, fastrand::u32(..))
         });
         let (i, member) = best?;
         let grant = Grant {
@@ -72,6 +83,21 @@
         Some((i, grant))
     }
 
+    /// Returns how much slower than usual a server works. 1 is usual.
+    pub fn pace(&self, server: &InstanceId) -> f64 {
+        self.members.iter().find(|member| member.record.id == *server).map_or(1.0, |member| member.pace)
+    }
+
+    /// Returns whether a server has gone silent while others begin responses.
+    pub fn is_stalled(&self, server: &InstanceId, now: Timestamp) -> bool {
+        let member = self.members.iter().find(|member| member.record.id == *server);
+        member.is_some_and(|member| self.is_member_stalled(member, now))
+    }
+
+    fn is_member_stalled(&self, member: &Member, now: Timestamp) -> bool {
+        member.silent_ms(now) >= STALL_MS && now.millis_since(self.answered_at) <= OTHERS_ANSWER_MS
+    }
+
     /// Returns whether some server would take `job` once it has room.
     pub(super) fn has_candidate(&self, job: &Job) -> bool {
         self.members.iter().any(|member| !member.is_leaving && !is_excluded(member, job))
--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -116,6 +116,7 @@
         }
         let mut kept = Vec::new();
         for mut group in groups.drain(..) {
+            group.note_paces(|server| shard.pace(server));
             if sample(&engines, &mut group).await {
                 improve(&gateway, &engines, &mut group, engine).await;
                 kept.push(group);
@@ -289,10 +290,10 @@
 async fn plan(planner: &LayoutPlanner, group: &Group) -> LayoutPlan {
     let mut sets = Vec::with_capacity(group.layout.sets.len());
     for (current, tokens) in group.layout.sets.iter().zip(group.demand.tokens()) {
-        sets.push(planner.plan_set(current, tokens));
+        sets.push(planner.plan_set(current, tokens, &group.paces));
         future::yield_now().await;
     }
-    planner.summarize(&group.layout, ExpertLayout { sets }, group.demand.tokens())
+    planner.summarize(&group.layout, ExpertLayout { sets }, group.demand.tokens(), &group.paces)
 }
 
 /// Returns a version above `highest` that only the coordinator of `term` uses.
--- a/crates/fuchsiabay-gateway/src/groups/group.rs
+++ b/crates/fuchsiabay-gateway/src/groups/group.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use fuchsiabay_balancer::{EngineProfile, ServerRecord};
-use fuchsiabay_base::Timestamp;
+use fuchsiabay_base::{InstanceId, Timestamp};
 use fuchsiabay_lockstep::{ExpertDemand, ExpertLayout, RankState};
 
 /// The ranks whose demand is read at least, as a share of all: one in this many. Reading a rank from another instance makes
@@ -26,6 +26,8 @@
     pub(super) epoch: u64,
     /// The servers by rank.
     pub(super) ranks: Vec<Arc<ServerRecord>>,
+    /// How much slower than usual each rank works.
+    pub(super) paces: Vec<f64>,
     /// The layout in use.
     pub(super) layout: ExpertLayout,
     /// The highest version that a rank has had.
@@ -55,6 +57,7 @@
             epoch: ranks.first().map_or(0, |(_, state)| state.epoch),
             version: versions.max().unwrap_or(0),
             step: ranks.iter().map(|(_, state)| state.step).max().unwrap_or(0),
+            paces: ranks.iter().map(|(_, state)| state.pace).collect(),
             ranks: ranks.into_iter().map(|(server, _)| server).collect(),
             layout,
             demand: ExpertDemand::new(engine.sets.into(), engine.experts.into(), now),
@@ -76,6 +79,13 @@
         (0..least).map(|i| i * all / least).collect()
     }
 
+    /// Takes over how much slower than usual the ranks work.
+    pub(super) fn note_paces(&mut self, pace: impl Fn(&InstanceId) -> f64) {
+        for (known, server) in self.paces.iter_mut().zip(&self.ranks) {
+            *known = pace(&server.id);
+        }
+    }
+
     /// Notes the last step that was begun.
     pub(super) fn note_step(&mut self, step: u64, now: Timestamp) {
         if step > self.step {
--- a/crates/fuchsiabay-gateway/src/groups/watch.rs
+++ b/crates/fuchsiabay-gateway/src/groups/watch.rs
@@ -1,8 +1,9 @@
 //! Finds out which groups are open, once something suggests that one is not.
 
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
-use fuchsiabay_base::InstanceId;
+use fuchsiabay_base::{InstanceId, Timestamp};
+use fuchsiabay_runtime::monotonic_now;
 use smol::Timer;
 
 use super::{EngineControl, orders::read_states};
@@ -11,6 +12,9 @@
 /// The interval in which suspicions are looked into.
 const INTERVAL: Duration = Duration::from_millis(60);
 
+/// The interval in which every group is looked at where asking costs it nothing, in milliseconds.
+const LOOK_MS: u64 = 1_000;
+
 /// The interval when asking costs the group pauses.
 const FAR_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -19,28 +23,42 @@
 /// A group that has lost a rank refuses everything until it is formed anew. Requests wait for that here, because each one
 /// that is sent meanwhile is refused and counts against the retry budget.
 pub(crate) async fn run<E: EngineControl>(gateway: Arc<Gateway>, engines: Arc<E>) {
+    let mut look_at = Timestamp::ZERO;
     loop {
+        let now = monotonic_now();
+        let is_due = now >= look_at;
+        if is_due {
+            look_at = now.plus_millis(LOOK_MS);
+        }
         let mut is_far = false;
         for shard in gateway.shards() {
             let has_engines = gateway.serving().is_some_and(|serving| serving.engine(shard.name()).is_some());
-            if !has_engines || !shard.take_suspicion() {
+            let servers = shard.servers();
+            let is_near = servers.iter().all(|server| engines.is_near(server));
+            if !has_engines || !(shard.take_suspicion() || is_due && is_near) {
                 continue;
             }
-            let servers = shard.servers();
-            is_far |= servers.iter().any(|server| !engines.is_near(server));
+            is_far |= !is_near;
             let states = read_states(&engines, &servers).await;
-            let mut open_ranks: HashMap<&str, u16> = HashMap::new();
-            for (_, group, state) in &states {
-                *open_ranks.entry(group).or_default() += u16::from(state.is_open);
+            // A server that cannot be asked cannot be sent requests, either.
+            let mut view: Vec<(InstanceId, bool)> =
+                states.iter().map(|(server, _, state)| (server.id.clone(), state.is_open)).collect();
+            let answered = view.len();
+            for server in &servers {
+                if states.iter().all(|(known, ..)| known.id != server.id) {
+                    view.push((server.id.clone(), false));
+                }
             }
-            let view: Vec<(InstanceId, bool)> = states
-                .iter()
-                .map(|(server, group, state)| {
-                    (server.id.clone(), open_ranks[group.as_str()] >= state.size.max(1))
-                })
-                .collect();
+            let paces: Vec<_> =
+                states.iter().map(|(server, _, state)| (server.id.clone(), state.pace)).collect();
+            shard.note_paces(&paces);
             let closed = view.iter().filter(|(_, is_open)| !is_open).count();
-            log::info!(service = shard.name().as_str(), asked = servers.len(), answered = view.len(), closed; "group: looked at");
+            if closed > 0 {
+                log::info!(
+                    service = shard.name().as_str(), asked = servers.len(), answered, closed;
+                    "group: not whole"
+                );
+            }
             shard.note_groups(&view);
         }
         Timer::after(if is_far { FAR_INTERVAL } else { INTERVAL }).await;
--- a/crates/fuchsiabay-gateway/src/request/course.rs
+++ b/crates/fuchsiabay-gateway/src/request/course.rs
@@ -24,6 +24,9 @@
 /// How often a request may meet a server that can run nothing before it is given up. Each time counts against the budget.
 const MAX_TURNED_AWAY: u32 = 3;
 
+/// The interval in which a waiting request looks whether its server has gone silent, in milliseconds.
+const STALL_POLL_MS: u64 = 250;
+
 /// The least time that a further attempt must have, in milliseconds.
 const MIN_ATTEMPT_MS: u64 = 20;
 
@@ -67,7 +70,10 @@
         loop {
             let mut lease = self.place(wire).await?;
             match self.send(wire, &lease).await? {
-                Ok(attempt) => return Ok((lease, attempt)),
+                Ok(attempt) => {
+                    lease.note_answered();
+                    return Ok((lease, attempt));
+                }
                 Err(failure) => {
                     lease.set_outcome(failure.outcome());
                     self.note_refusal(&lease.grant.server.id, failure.kind);
@@ -204,20 +210,18 @@
             let left_ms = call.end_at.millis_since(monotonic_now());
             let bytes = self.req.encode(&server.id, left_ms, self.last_event_id.as_deref());
             let slow = async {
-                sleep_until(slow_at).await;
+                self.wait_until_slow(&server.id, slow_at).await;
                 Err(Failure::may_have_run(FailureKind::Slow))
             };
             Attempt::start(connection, self.req, &bytes, call.gateway.settings.dialect).or(slow).await
         };
-        // Until the work says otherwise the request may have run, also when it is interrupted.
-        self.verdict = Verdict::MayHaveRun;
-        let result = match until_interrupted(wire, call.end_at, work).await {
-            Ok(result) => result,
-            Err(interrupt) => return Err(self.interrupted(interrupt)),
+        let result = until_interrupted(wire, call.end_at, work).await;
+        self.verdict = match &result {
+            Ok(Err(failure)) => before.max(failure.verdict),
+            // Until the server says otherwise the request may have run, also when it was interrupted.
+            Ok(Ok(_)) | Err(_) => Verdict::MayHaveRun,
         };
-        if let Err(failure) = &result {
-            self.verdict = before.max(failure.verdict);
-        }
+        let result = result.map_err(|interrupt| self.interrupted(interrupt))?;
         if let Ok(attempt) = &result {
             note_load(call, &server.id, attempt);
         }
@@ -246,6 +250,21 @@
         monotonic_now().plus_millis(route.goal_ms * HEDGE_PERCENT / 100)
     }
 
+    /// Waits until an attempt should be moved to another server: at `slow_at`, or once the server of an idempotent request has
+    /// gone silent while others answer.
+    async fn wait_until_slow(&self, server: &InstanceId, slow_at: Timestamp) {
+        let may_move =
+            self.call.kind().is_idempotent() && (self.tried.len() as u32) < self.call.route.attempts;
+        loop {
+            let now = monotonic_now();
+            if now >= slow_at || may_move && self.call.shard.is_stalled(server) {
+                return;
+            }
+            let next = if may_move { now.plus_millis(STALL_POLL_MS).min(slow_at) } else { slow_at };
+            sleep_until(next).await;
+        }
+    }
+
     fn may_send_again(&self, failure: Failure, now: Timestamp) -> bool {
         let call = self.call;
         let is_harmless = self.verdict.max(failure.verdict) == Verdict::NotRun || call.kind().is_idempotent();
--- a/crates/fuchsiabay-gateway/src/shard.rs
+++ b/crates/fuchsiabay-gateway/src/shard.rs
@@ -155,6 +155,24 @@
         state.deliver(grants);
     }
 
+    /// Takes over how much slower than usual servers work.
+    pub(crate) fn note_paces(&self, paces: &[(InstanceId, f64)]) {
+        let mut state = self.state.lock();
+        for (server, pace) in paces {
+            state.pool.set_pace(server, *pace);
+        }
+    }
+
+    /// Returns how much slower than usual a server works.
+    pub(crate) fn pace(&self, server: &InstanceId) -> f64 {
+        self.state.lock().pool.pace(server)
+    }
+
+    /// Returns whether a server has gone silent while others answer.
+    pub(crate) fn is_stalled(&self, server: &InstanceId) -> bool {
+        self.state.lock().pool.is_stalled(server, monotonic_now())
+    }
+
     pub(crate) fn note_others(&self, others: &HashMap<InstanceId, u32>) {
         let mut state = self.state.lock();
         let grants = state.pool.note_others(others, monotonic_now());
@@ -190,9 +208,9 @@
         self.state.lock().pool.places(monotonic_now())
     }
 
-    fn finish(&self, grant: &Grant, outcome: Outcome) {
+    fn finish(&self, grant: &Grant, outcome: Outcome, was_answered: bool) {
         let mut state = self.state.lock();
-        let (grants, ejected) = state.pool.finish(grant, outcome, monotonic_now());
+        let (grants, ejected) = state.pool.finish(grant, outcome, was_answered, monotonic_now());
         state.deliver(grants);
         drop(state);
         if ejected {
@@ -212,7 +230,7 @@
             };
             if let Err(error) = tx.try_send(grant) {
                 let grant = error.into_inner();
-                grants.extend(self.pool.finish(&grant, Outcome::Neutral, monotonic_now()).0);
+                grants.extend(self.pool.finish(&grant, Outcome::Neutral, false, monotonic_now()).0);
             }
         }
     }
@@ -224,11 +242,18 @@
     shard: Arc<ServiceShard>,
     pub(crate) grant: Grant,
     outcome: Outcome,
+    was_answered: bool,
 }
 
 impl Lease {
     fn new(shard: &Arc<ServiceShard>, grant: Grant) -> Self {
-        Self { shard: shard.clone(), grant, outcome: Outcome::Neutral }
+        Self { shard: shard.clone(), grant, outcome: Outcome::Neutral, was_answered: false }
+    }
+
+    /// Notes that the server began its response.
+    pub(crate) fn note_answered(&mut self) {
+        self.was_answered = true;
+        self.shard.state.lock().pool.note_answered(&self.grant.server.id, monotonic_now());
     }
 
     /// Sets what the request says about the server's health.
@@ -239,7 +264,7 @@
 
 impl Drop for Lease {
     fn drop(&mut self) {
-        self.shard.finish(&self.grant, self.outcome);
+        self.shard.finish(&self.grant, self.outcome, self.was_answered);
     }
 }
 
@@ -265,7 +290,7 @@
         state.waiters.remove(&self.id);
         state.pool.abandon(self.id);
         if let Ok(grant) = self.rx.try_recv() {
-            let grants = state.pool.finish(&grant, Outcome::Neutral, monotonic_now()).0;
+            let grants = state.pool.finish(&grant, Outcome::Neutral, false, monotonic_now()).0;
             state.deliver(grants);
         }
     }
--- a/crates/fuchsiabay-lockstep/src/planner.rs
+++ b/crates/fuchsiabay-lockstep/src/planner.rs
@@ -9,6 +9,9 @@
 /// for the copy.
 const GAIN_PER_COPY: f64 = 0.004;
 
+/// The pace of a rank that says it needs no time.
+const MIN_PACE: f64 = 0.1;
+
 /// What an engine allows.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct LayoutLimits {
@@ -29,8 +32,11 @@
     old: &'a [Vec<u16>],
     ranks: Vec<Vec<u16>>,
     tokens: &'a [f64],
+    paces: &'a [f64],
     counts: Vec<u32>,
+    /// The time of each rank: its tokens times its pace.
     loads: Vec<f64>,
+    /// The time of every rank if all were equal.
     mean: f64,
     limits: LayoutLimits,
 }
@@ -50,8 +56,10 @@
     }
 
     /// Returns a better layout of one set of `current`.
-    pub fn plan_set(&self, current: &[Vec<u16>], tokens: &[f64]) -> Vec<Vec<u16>> {
-        let mut plan = SetPlan::new(current, tokens, self.limits);
+    ///
+    /// `paces` tells how much slower than usual each rank works.
+    pub fn plan_set(&self, current: &[Vec<u16>], tokens: &[f64], paces: &[f64]) -> Vec<Vec<u16>> {
+        let mut plan = SetPlan::new(current, tokens, paces, self.limits);
         for _ in 0..MAX_ROUNDS {
             let Some(step) = plan.best_step() else {
                 break;
@@ -63,25 +71,39 @@
     }
 
     /// Sums up the layout whose sets were planned.
-    pub fn summarize(&self, current: &ExpertLayout, layout: ExpertLayout, tokens: &[Vec<f64>]) -> LayoutPlan {
+    pub fn summarize(
+        &self,
+        current: &ExpertLayout,
+        layout: ExpertLayout,
+        tokens: &[Vec<f64>],
+        paces: &[f64],
+    ) -> LayoutPlan {
         LayoutPlan {
             copies: current.copies_by_rank(&layout).iter().sum(),
-            skew_before: mean_skew(current, tokens),
-            skew_after: mean_skew(&layout, tokens),
+            skew_before: mean_skew(current, tokens, paces),
+            skew_after: mean_skew(&layout, tokens, paces),
             layout,
         }
     }
 }
 
 impl<'a> SetPlan<'a> {
-    fn new(current: &'a [Vec<u16>], tokens: &'a [f64], limits: LayoutLimits) -> Self {
+    fn new(current: &'a [Vec<u16>], tokens: &'a [f64], paces: &'a [f64], limits: LayoutLimits) -> Self {
         let mut counts = vec![0; tokens.len()];
         for &expert in current.iter().flatten() {
             counts[usize::from(expert)] += 1;
         }
-        let mean = tokens.iter().sum::<f64>() / current.len().max(1) as f64;
-        let mut plan =
-            Self { old: current, ranks: current.to_vec(), tokens, counts, loads: Vec::new(), mean, limits };
+        let mean = tokens.iter().sum::<f64>() / total_speed(paces);
+        let mut plan = Self {
+            old: current,
+            ranks: current.to_vec(),
+            tokens,
+            paces,
+            counts,
+            loads: Vec::new(),
+            mean,
+            limits,
+        };
         plan.loads = (0..plan.ranks.len()).map(|rank| plan.load_of(rank)).collect();
         plan
     }
@@ -92,7 +114,7 @@
     }
 
     fn load_of(&self, rank: usize) -> f64 {
-        self.ranks[rank].iter().map(|expert| self.share(*expert)).sum()
+        self.ranks[rank].iter().map(|expert| self.share(*expert)).sum::<f64>() * self.paces[rank]
     }
 
     /// Returns the step that lowers the unevenness most, if it pays for its copy.
@@ -156,22 +178,22 @@
             let i = usize::from(expert);
             let (before, after) = (self.share(expert), self.tokens[i] / f64::from(self.counts[i] + 1));
             self.shift_holders(&mut loads, expert, after - before);
-            loads[step.rank] += after;
+            loads[step.rank] += after * self.paces[step.rank];
         }
         if let Some(expert) = step.removed {
             let i = usize::from(expert);
             let (before, after) =
                 (self.share(expert), self.tokens[i] / f64::from((self.counts[i] - 1).max(1)));
             self.shift_holders(&mut loads, expert, after - before);
-            loads[step.rank] -= after;
+            loads[step.rank] -= after * self.paces[step.rank];
         }
         loads
     }
 
     fn shift_holders(&self, loads: &mut [f64], expert: u16, difference: f64) {
-        for (load, experts) in loads.iter_mut().zip(&self.ranks) {
+        for ((load, experts), pace) in loads.iter_mut().zip(&self.ranks).zip(self.paces) {
             if experts.contains(&expert) {
-                *load += difference;
+                *load += difference * pace;
             }
         }
     }
@@ -198,11 +220,16 @@
     }
 }
 
-fn mean_skew(layout: &ExpertLayout, tokens: &[Vec<f64>]) -> f64 {
+/// Returns how many ranks of usual pace are as fast as all ranks together.
+fn total_speed(paces: &[f64]) -> f64 {
+    paces.iter().map(|pace| 1.0 / pace.max(MIN_PACE)).sum::<f64>().max(1.0)
+}
+
+fn mean_skew(layout: &ExpertLayout, tokens: &[Vec<f64>], paces: &[f64]) -> f64 {
     let skews = tokens.iter().enumerate().map(|(set, tokens)| {
-        let loads = layout.rank_loads(set, tokens);
-        let mean = tokens.iter().sum::<f64>() / loads.len().max(1) as f64;
-        if mean > 0.0 { loads.iter().copied().fold(0.0, f64::max) / mean } else { 1.0 }
+        let times = layout.rank_loads(set, tokens).into_iter().zip(paces).map(|(load, pace)| load * pace);
+        let mean = tokens.iter().sum::<f64>() / total_speed(paces);
+        if mean > 0.0 { times.fold(0.0, f64::max) / mean } else { 1.0 }
     });
     skews.sum::<f64>() / tokens.len().max(1) as f64
 }
--- a/crates/fuchsiabay-lockstep/src/rank_state.rs
+++ b/crates/fuchsiabay-lockstep/src/rank_state.rs
@@ -10,7 +10,7 @@
 }
 
 /// The state of one rank.
-#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct RankState {
     /// Counts the times that the group was formed anew.
     pub epoch: u64,
@@ -20,6 +20,8 @@
     pub size: u16,
     /// Whether the group takes requests.
     pub is_open: bool,
+    /// How much slower than usual the rank works. 1 is usual.
+    pub pace: f64,
     /// The last step that was begun.
     pub step: u64,
     /// The version of the map in use.
