--- a/crates/fuchsiabay-balancer/src/pool/commands.rs
+++ b/crates/fuchsiabay-balancer/src/pool/commands.rs
@@ -13,6 +13,12 @@
 /// The shortest time after which a refused caller is asked to come back, in milliseconds.
 const MIN_RETRY_AFTER_MS: u64 = 200;
 
+/// The longest time after which a refused caller is asked to come back, in milliseconds. Predictions beyond it are worth little.
+const MAX_RETRY_AFTER_MS: u64 = 2_500;
+
+/// Refused callers are spread over this time, in milliseconds, so that they do not come back together.
+const RETRY_AFTER_SPREAD_MS: u64 = 400;
+
 /// The time after which a caller is asked to come back when no server is known, in milliseconds.
 const NO_SERVER_RETRY_AFTER_MS: u64 = 1_000;
 
@@ -53,7 +59,11 @@
 
     /// Decides about a new job.
     pub fn admit(&mut self, job: Job, now: Timestamp) -> Admission {
-        if self.waiting.ahead_of(&job, now) == 0
+        let is_late = self.is_late(&job, now);
+        if !is_late && !job.is_resumption {
+            self.traffic.note_fresh(now);
+        }
+        if self.count_ahead(&job, now) == 0
             && let Some(grant) = self.take_place(&job, now)
         {
             return Admission::Granted(grant);
@@ -81,10 +91,16 @@
         self.waiting.take_expired(now)
     }
 
-    /// Notes that a server began its response to a request.
-    pub fn note_answered(&mut self, server: &InstanceId, now: Timestamp) {
+    /// Sets the number of instances that share the servers.
+    pub fn set_instances(&mut self, instances: usize) {
+        self.instances = instances.max(1);
+    }
+
+    /// Notes that a server began its response to the request that holds `grant`.
+    pub fn note_answered(&mut self, grant: &Grant, now: Timestamp) {
         self.answered_at = now;
-        if let Some(member) = self.member(server) {
+        self.traffic.note_first(now.millis_since(grant.taken_at));
+        if let Some(member) = self.member(&grant.server.id) {
             member.note_answered(now);
         }
     }
@@ -104,7 +120,7 @@
         was_answered: bool,
         now: Timestamp,
     ) -> (Vec<(JobId, Grant)>, bool) {
-        self.demand.note_end(now);
+        self.traffic.note_end(now.millis_since(grant.taken_at), now);
         let mut ejected = false;
         if let Some(member) = self.member(&grant.server.id) {
             invariant!("place_returned_once", member.own > 0, "server {} has no request", grant.server.id);
@@ -158,7 +174,8 @@
     /// Gives free places to waiting jobs.
     pub fn dispatch(&mut self, now: Timestamp) -> Vec<(JobId, Grant)> {
         let mut grants = Vec::new();
-        while let Some(id) = self.waiting.first(now, |job| self.find_place(job, now).is_some()) {
+        let first_ms = self.traffic.first_ms();
+        while let Some(id) = self.waiting.first(first_ms, now, |job| self.find_place(job, now).is_some()) {
             let Some(job) = self.waiting.remove(id) else {
                 break;
             };
@@ -180,7 +197,9 @@
     fn refusal(&self, reason: RefusalReason, wait_ms: u64) -> Refusal {
         let retry_after_ms = match reason {
             RefusalReason::NoServer => NO_SERVER_RETRY_AFTER_MS,
-            RefusalReason::WaitTooLong => wait_ms.max(MIN_RETRY_AFTER_MS),
+            RefusalReason::WaitTooLong => {
+                wait_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS) + fastrand::u64(..RETRY_AFTER_SPREAD_MS)
+            }
         };
         Refusal { reason, retry_after_ms, predicted_wait_ms: wait_ms, queued: self.waiting.len() }
     }
--- a/crates/fuchsiabay-balancer/src/pool/grant.rs
+++ b/crates/fuchsiabay-balancer/src/pool/grant.rs
@@ -2,6 +2,8 @@
 
 use std::sync::Arc;
 
+use fuchsiabay_base::Timestamp;
+
 use crate::ServerRecord;
 
 /// A place at a server. It is given back with `Pool::finish`.
@@ -9,6 +11,8 @@
 pub struct Grant {
     /// The server.
     pub server: Arc<ServerRecord>,
+    /// When the place was taken.
+    pub taken_at: Timestamp,
     /// Tokens counted against the server.
     pub tokens: u64,
     /// Requests that were believed to be at the server, this one included.
--- a/crates/fuchsiabay-balancer/src/pool/job.rs
+++ b/crates/fuchsiabay-balancer/src/pool/job.rs
@@ -21,7 +21,7 @@
     pub priority: u8,
     /// Until when a response that begins has its full value.
     pub goal_at: Timestamp,
-    /// When the caller gives up.
+    /// Until when the request may wait for a place.
     pub deadline: Timestamp,
     /// Tokens that it is expected to hold in an engine's memory. Zero for plain services.
     pub tokens: u64,
--- a/crates/fuchsiabay-balancer/src/pool/mod.rs
+++ b/crates/fuchsiabay-balancer/src/pool/mod.rs
@@ -2,17 +2,18 @@
 
 mod admission;
 mod commands;
-mod demand;
+
 mod grant;
 mod job;
 mod member;
 mod queries;
 mod snapshot;
+mod traffic;
 mod waiting;
 
 use fuchsiabay_base::{Timestamp, ZoneName};
 
-use self::{demand::Demand, member::Member, waiting::Waiting};
+use self::{member::Member, traffic::Traffic, waiting::Waiting};
 use crate::EngineProfile;
 
 pub use admission::{Admission, Refusal, RefusalReason};
@@ -20,6 +21,12 @@
 pub use job::{Job, JobId};
 pub use snapshot::{PoolSnapshot, ServerSnapshot};
 
+/// The time to a first byte that is assumed before one was measured, in milliseconds.
+const USUAL_FIRST_MS: f64 = 100.0;
+
+/// The time for which a request holds its place that is assumed before one was measured, in milliseconds.
+const USUAL_HOLDING_MS: f64 = 500.0;
+
 /// The pool of one service. It decides which server runs a request, which requests wait, and which are refused.
 #[derive(Debug)]
 pub struct Pool {
@@ -27,7 +34,9 @@
     engine: Option<EngineProfile>,
     members: Vec<Member>,
     waiting: Waiting,
-    demand: Demand,
+    traffic: Traffic,
+    /// Instances that share the servers.
+    instances: usize,
     next_job: u64,
     /// When a server began a response last.
     answered_at: Timestamp,
@@ -41,7 +50,8 @@
             engine: None,
             members: Vec::new(),
             waiting: Waiting::default(),
-            demand: Demand::default(),
+            traffic: Traffic::new(USUAL_FIRST_MS, USUAL_HOLDING_MS),
+            instances: 1,
             next_job: 0,
             answered_at: Timestamp::ZERO,
         }
--- a/crates/fuchsiabay-balancer/src/pool/queries.rs
+++ b/crates/fuchsiabay-balancer/src/pool/queries.rs
@@ -4,12 +4,17 @@
 
 use fuchsiabay_base::{InstanceId, Timestamp};
 
-use super::{Grant, Job, Pool, PoolSnapshot, ServerSnapshot, member::Member};
+use super::{Grant, Job, Pool, PoolSnapshot, ServerSnapshot, member::Member, waiting::latest_start_of};
 use crate::ServerRecord;
 
-/// The longest wait that a late response is still worth, in milliseconds. A longer queue keeps places from requests
-/// that can be on time.
-const LONGEST_LATE_WAIT_MS: u64 = 2_000;
+/// The largest part of the places that is kept from late requests. Refusing while half of the places are free helps nobody.
+const MAX_RESERVED: f64 = 0.5;
+
+/// The least part of the ends that late requests are predicted to profit from.
+const MIN_SLACK: f64 = 0.1;
+
+/// The least rate of ends that a prediction assumes, in a second.
+const MIN_RATE_PER_S: f64 = 0.1;
 
 /// The time without any begun response after which a server is passed over, in milliseconds. It is three times what a first
 /// event takes when every place is taken.
@@ -60,6 +65,9 @@
 
     /// Returns a place for `job`, if one is free.
     pub(super) fn find_place(&self, job: &Job, now: Timestamp) -> Option<(usize, Grant)> {
+        if !job.is_resumption && self.is_late(job, now) && !self.has_slack(now) {
+            return None;
+        }
         let fits = |member: &&(usize, &Member)| {
             let member = member.1;
             member.is_choosable(now)
@@ -76,6 +84,7 @@
         let (i, member) = best?;
         let grant = Grant {
             server: member.record.clone(),
+            taken_at: now,
             tokens: job.tokens,
             load: member.load(now) + 1,
             load_age_ms: member.report_age_ms(now),
@@ -103,36 +112,65 @@
         self.members.iter().any(|member| !member.is_leaving && !is_excluded(member, job))
     }
 
+    /// Returns whether `job` cannot be on time any more even if it is sent now.
+    pub(super) fn is_late(&self, job: &Job, now: Timestamp) -> bool {
+        latest_start_of(job, self.traffic.first_ms()) < now
+    }
+
+    pub(super) fn count_ahead(&self, job: &Job, now: Timestamp) -> usize {
+        let first_ms = self.traffic.first_ms();
+        self.waiting.ahead_of(job, latest_start_of(job, first_ms), first_ms, now)
+    }
+
+    /// Returns the places that requests that can be on time will need, as a part of all.
+    ///
+    /// A late response is worth a fraction of one that is on time, so late requests get only places that no other one is
+    /// expected to need.
+    fn reserved_part(&self, now: Timestamp) -> f64 {
+        let places: u32 = self.members.iter().filter(|m| !m.is_leaving).map(|m| self.place_limit(m)).sum();
+        let needed =
+            self.traffic.fresh_per_s(now) * self.instances as f64 * self.traffic.holding_ms() / 1000.0;
+        (needed / f64::from(places.max(1))).min(MAX_RESERVED)
+    }
+
+    /// Returns whether a late job may take a place.
+    fn has_slack(&self, now: Timestamp) -> bool {
+        let (places, taken) = self.places(now);
+        f64::from(taken) < f64::from(places) * (1.0 - self.reserved_part(now))
+    }
+
     /// Predicts how long `job` would wait, in milliseconds.
     pub(super) fn predict_wait_ms(&self, job: &Job, now: Timestamp) -> u64 {
-        let ahead = self.waiting.ahead_of(job, now) + 1;
-        let rate = self.demand.ends_per_s(now).or_else(|| self.nominal_rate_per_s());
-        match rate {
-            Some(rate) if rate > 0.0 => (ahead as f64 * 1000.0 / rate) as u64,
-            _ => 0,
-        }
+        let ahead = self.count_ahead(job, now) + 1;
+        let ends_per_s = self.traffic.ends_per_s(now).unwrap_or_else(|| self.nominal_rate_per_s());
+        let rate = if self.is_late(job, now) && !job.is_resumption {
+            (ends_per_s - self.traffic.fresh_per_s(now)).max(ends_per_s * MIN_SLACK)
+        } else {
+            ends_per_s
+        };
+        (ahead as f64 * 1000.0 / rate.max(MIN_RATE_PER_S)) as u64
     }
 
     /// Returns the longest wait after which serving `job` is still worth a place, in milliseconds.
     pub(super) fn longest_wait_ms(&self, job: &Job, now: Timestamp) -> u64 {
-        let left = job.deadline.millis_since(now);
-        if self.engine.is_some() {
-            LONGEST_LATE_WAIT_MS.min(left / WAIT_DIVISOR)
-        } else {
-            left / WAIT_DIVISOR
+        if job.is_resumption {
+            return job.deadline.millis_since(now);
         }
+        let left = job.deadline.millis_since(now).saturating_sub(self.traffic.first_ms());
+        let on_time = latest_start_of(job, self.traffic.first_ms()).millis_since(now);
+        on_time.max(left / WAIT_DIVISOR)
     }
 
     fn place_limit(&self, member: &Member) -> u32 {
         member.record.slots.max(1)
     }
 
-    /// Returns the ends in a second when every place is taken by requests of usual size and this instance has an equal
-    /// part of them, as long as nothing was observed.
-    fn nominal_rate_per_s(&self) -> Option<f64> {
-        let engine = self.engine.as_ref()?;
-        let own: u32 = self.members.iter().map(|member| member.own).sum();
-        Some(f64::from(own.max(1)) * 1000.0 / engine.holding_time_ms().max(1.0))
+    /// Returns the ends in a second when this instance has an equal part of all places, as long as nothing was observed.
+    fn nominal_rate_per_s(&self) -> f64 {
+        let places: u32 = self.members.iter().map(|member| self.place_limit(member)).sum();
+        let holding_ms =
+            self.engine.as_ref().map_or(self.traffic.holding_ms(), |engine| engine.holding_time_ms());
+        f64::from(places) / self.instances as f64 * 1000.0 / holding_ms.max(1.0)
     }
 }
 
--- a/crates/fuchsiabay-balancer/src/pool/waiting.rs
+++ b/crates/fuchsiabay-balancer/src/pool/waiting.rs
@@ -25,15 +25,23 @@
     }
 
     /// Returns how many jobs would be served before `job`.
-    pub(super) fn ahead_of(&self, job: &Job, now: Timestamp) -> usize {
-        let key = order_key(job, now);
-        self.jobs.iter().filter(|(_, other)| order_key(other, now) <= key).count()
+    pub(super) fn ahead_of(
+        &self,
+        job: &Job,
+        latest_start: Timestamp,
+        first_ms: u64,
+        now: Timestamp,
+    ) -> usize {
+        let key = order_key(job, latest_start, now);
+        let key_of = |other: &Job| order_key(other, latest_start_of(other, first_ms), now);
+        self.jobs.iter().filter(|(_, other)| key_of(other) <= key).count()
     }
 
     /// Returns the job to serve first among those that `fits` accepts.
-    pub(super) fn first(&self, now: Timestamp, fits: impl Fn(&Job) -> bool) -> Option<JobId> {
+    pub(super) fn first(&self, first_ms: u64, now: Timestamp, fits: impl Fn(&Job) -> bool) -> Option<JobId> {
         let candidates = self.jobs.iter().filter(|(_, job)| job.deadline > now && fits(job));
-        candidates.min_by_key(|(id, job)| (order_key(job, now), *id)).map(|(id, _)| *id)
+        let key = |id: JobId, job: &Job| (order_key(job, latest_start_of(job, first_ms), now), id);
+        candidates.min_by_key(|(id, job)| key(*id, job)).map(|(id, _)| *id)
     }
 
     /// Removes the jobs whose deadline has passed.
@@ -44,10 +52,15 @@
     }
 }
 
-/// Orders jobs: streams that already reached their callers, then those that can still be on time, then the late
-/// ones; by priority and goal in each.
+/// Returns when a job must be sent at the latest to have its full value, if a response begins after `first_ms`.
+pub(super) fn latest_start_of(job: &Job, first_ms: u64) -> Timestamp {
+    job.goal_at.minus_millis(first_ms)
+}
+
+/// Orders jobs: streams that already reached their callers, then those that can still be on time, then the late ones; by
+/// priority and goal in each.
 ///
 /// Serving late jobs last keeps one burst from making every later request late, too.
-fn order_key(job: &Job, now: Timestamp) -> (bool, bool, u8, Timestamp) {
-    (!job.is_resumption, job.goal_at <= now, job.priority, job.goal_at)
+fn order_key(job: &Job, latest_start: Timestamp, now: Timestamp) -> (bool, bool, u8, Timestamp) {
+    (!job.is_resumption, latest_start < now, job.priority, job.goal_at)
 }
--- a/crates/fuchsiabay-balancer/src/route.rs
+++ b/crates/fuchsiabay-balancer/src/route.rs
@@ -70,6 +70,8 @@
     pub goal_ms: u64,
     /// The longest pause between two events of a stream that is on time, in milliseconds.
     pub gap_goal_ms: Option<u64>,
+    /// The time for which callers wait for the next event of a stream, the first one included, in milliseconds.
+    pub patience_ms: Option<u64>,
     /// The number of servers that one request may be sent to.
     pub attempts: u32,
     /// Its rank among routes, 0 first.
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -14,7 +14,10 @@
 use parking_lot::{Mutex, RwLock};
 use serde_json::{Value, json};
 
-use crate::{GatewaySettings, backend::Connections, drain::Drain, duty::Duty, shard::ServiceShard};
+use crate::{
+    GatewaySettings, backend::Connections, drain::Drain, duty::Duty, shard::ServiceShard,
+    usual_deadlines::UsualDeadlines,
+};
 
 /// The shared state. Each service has a shard under a lock of its own.
 pub(crate) struct Gateway {
@@ -26,6 +29,7 @@
     directory_is_known: AtomicBool,
     drain: Drain,
     duty: Duty,
+    usual_deadlines: UsualDeadlines,
     open_connections: AtomicUsize,
     running_requests: AtomicUsize,
     instances: AtomicUsize,
@@ -42,6 +46,7 @@
             directory_is_known: AtomicBool::new(false),
             drain: Drain::default(),
             duty: Duty::default(),
+            usual_deadlines: UsualDeadlines::default(),
             open_connections: AtomicUsize::new(0),
             running_requests: AtomicUsize::new(0),
             instances: AtomicUsize::new(1),
@@ -78,7 +83,9 @@
         let mut shards = self.shards.write();
         let create = || {
             let zone = self.settings.zone.clone();
-            Arc::new(ServiceShard::new(service.clone(), zone, self.settings.retries))
+            let shard = ServiceShard::new(service.clone(), zone, self.settings.retries);
+            shard.set_instances(self.instances());
+            Arc::new(shard)
         };
         shards.entry(service.clone()).or_insert_with(create).clone()
     }
@@ -120,12 +127,19 @@
 
     pub(crate) fn set_instances(&self, n: usize) {
         self.instances.store(n.max(1), Ordering::Relaxed);
+        for shard in self.shards() {
+            shard.set_instances(n);
+        }
     }
 
     pub(crate) fn drain(&self) -> &Drain {
         &self.drain
     }
 
+    pub(crate) fn usual_deadlines(&self) -> &UsualDeadlines {
+        &self.usual_deadlines
+    }
+
     pub(crate) fn duty(&self) -> &Duty {
         &self.duty
     }
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod shard;
 mod signals;
 mod source;
+mod usual_deadlines;
 
 pub use agent::{AgentSettings, ENGINE_HEADER, run_agent};
 pub use client::{CallError, CallResponse, HttpClient};
--- a/crates/fuchsiabay-gateway/src/request/call.rs
+++ b/crates/fuchsiabay-gateway/src/request/call.rs
@@ -4,6 +4,7 @@
 
 use fuchsiabay_balancer::{Job, KeyCheck, Route, RouteKind, Serving, Workspace};
 use fuchsiabay_base::{Fingerprint, InstanceId, Timestamp};
+use fuchsiabay_runtime::monotonic_now;
 
 use super::{request_id, stated_deadline_ms};
 use crate::{
@@ -34,6 +35,8 @@
     pub(super) shard: Arc<ServiceShard>,
     pub(super) fingerprint: Fingerprint,
     tokens: u64,
+    /// The part of its time that the caller has spent on earlier attempts, in milliseconds.
+    spent_ms: u64,
 }
 
 impl<'a> Call<'a> {
@@ -64,6 +67,7 @@
         let shard = gateway.shard(service);
         let stated_ms = stated_deadline_ms(gateway, head).unwrap_or(route.timeout_ms);
         let end_at = arrived.plus_millis(stated_ms.min(route.timeout_ms));
+        let spent_ms = gateway.usual_deadlines().spent_ms(&route.name, stated_ms);
         let name = workspace.as_ref().map_or("", |workspace| workspace.name.as_str());
         let parts = [name.as_bytes(), head.method.as_bytes(), head.target.as_bytes(), body];
         let fingerprint = Fingerprint::of(&parts);
@@ -81,6 +85,7 @@
             shard,
             fingerprint,
             tokens,
+            spent_ms,
         })
     }
 
@@ -95,14 +100,23 @@
     pub(super) fn job(&self, excluded: &[InstanceId], is_resumption: bool) -> Job {
         Job {
             priority: self.priority(),
-            goal_at: self.arrived.plus_millis(self.route.goal_ms),
-            deadline: self.end_at,
+            goal_at: self.arrived.plus_millis(self.route.goal_ms).minus_millis(self.spent_ms),
+            deadline: self.wait_until(is_resumption),
             tokens: self.tokens,
             is_resumption,
             excluded: excluded.to_vec(),
         }
     }
 
+    /// Returns until when the request may wait for a place. Nobody reads a response that begins after the caller has left.
+    fn wait_until(&self, is_resumption: bool) -> Timestamp {
+        match self.route.patience_ms {
+            Some(ms) if !is_resumption => self.end_at.min(self.arrived.plus_millis(ms)),
+            Some(ms) => self.end_at.min(monotonic_now().plus_millis(ms)),
+            None => self.end_at,
+        }
+    }
+
     /// Returns whether the caller may send another request on the connection.
     pub(super) fn keeps_alive(&self) -> bool {
         self.head.keeps_alive && !self.gateway.is_draining()
--- a/crates/fuchsiabay-gateway/src/shard.rs
+++ b/crates/fuchsiabay-gateway/src/shard.rs
@@ -104,6 +104,10 @@
         self.state.lock().crashes.is_refused(fingerprint, now)
     }
 
+    pub(crate) fn set_instances(&self, instances: usize) {
+        self.state.lock().pool.set_instances(instances);
+    }
+
     pub(crate) fn set_engine(&self, engine: Option<&EngineProfile>) {
         self.state.lock().pool.set_engine(engine);
     }
@@ -253,7 +257,7 @@
     /// Notes that the server began its response.
     pub(crate) fn note_answered(&mut self) {
         self.was_answered = true;
-        self.shard.state.lock().pool.note_answered(&self.grant.server.id, monotonic_now());
+        self.shard.state.lock().pool.note_answered(&self.grant, monotonic_now());
     }
 
     /// Sets what the request says about the server's health.
