--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -31,7 +31,7 @@
 
 /// The time for which a new coordinator waits before it looks at the ranks, in milliseconds. Ranks tell their state some
 /// hundred milliseconds late, and a former coordinator's orders must show.
-const TAKEOVER_MS: u64 = 700;
+const TAKEOVER_MS: u64 = 500;
 
 /// The least skew that is worth a new layout.
 const MIN_SKEW: f64 = 1.25;
--- a/crates/fuchsiabay-gateway/src/membership.rs
+++ b/crates/fuchsiabay-gateway/src/membership.rs
@@ -7,13 +7,13 @@
 use crate::{MembershipSource, duty::boot_now, gateway::Gateway};
 
 /// The interval of the renewals.
-const RENEW: Duration = Duration::from_millis(1_000);
+const RENEW: Duration = Duration::from_millis(500);
 
 /// The interval after a failed renewal.
-const RETRY: Duration = Duration::from_millis(400);
+const RETRY: Duration = Duration::from_millis(300);
 
 /// The time for which a renewal holds, in milliseconds. Another instance takes the duty over after it.
-pub const LEASE_MS: u64 = 3_000;
+pub const LEASE_MS: u64 = 1_600;
 
 /// The part of a lease that is not used, in milliseconds, because the store counts from the arrival of the call.
 const LEASE_MARGIN_MS: u64 = 200;
--- a/crates/fuchsiabay-gateway/src/request/stream.rs
+++ b/crates/fuchsiabay-gateway/src/request/stream.rs
@@ -1,6 +1,6 @@
 //! Streams of events, which another server may continue.
 
-use fuchsiabay_base::Verdict;
+use fuchsiabay_base::{Timestamp, Verdict};
 use fuchsiabay_runtime::monotonic_now;
 use smol::{io::AsyncWriteExt, net::TcpStream};
 
@@ -33,8 +33,7 @@
 /// Runs a stream to its end.
 pub(super) async fn run(course: &mut Course<'_>, wire: &mut Wire) -> End {
     let first_id = course.last_event_id.as_deref().and_then(|id| id.trim().parse().ok());
-    let mut relay =
-        Relay { writer: wire.writer(), events: Events::after(first_id), has_head: false, out: Vec::new() };
+    let mut relay = Relay::new(wire.writer(), Events::after(first_id));
     loop {
         let (mut lease, mut attempt) = match course.start(wire).await {
             Ok(started) => started,
@@ -58,7 +57,12 @@
             PartEnd::Whole => {
                 course.note_answer(&mut lease, attempt.response.head.status);
                 keep_connection(call, &lease, attempt);
-                log::info!(request = call.request_id, events = relay.events.passed(); "stream: whole");
+                log::info!(
+                    request = call.request_id, events = relay.events.passed(), longest_gap_ms = relay.longest_gap_ms,
+                    gap_goal_ms = call.route.gap_goal_ms;
+                    "stream: whole"
+                );
+                metrics::histogram!("fuchsiabay_longest_gap_ms").record(relay.longest_gap_ms as f64);
                 return End::Relayed { status: 200 };
             }
             PartEnd::Broken(kind) => {
@@ -122,9 +126,22 @@
     /// Whether the head was written. It is that of the first server.
     has_head: bool,
     out: Vec<u8>,
+    /// When events were passed on last.
+    last_at: Option<Timestamp>,
+    longest_gap_ms: u64,
 }
 
 impl Relay {
+    fn new(writer: TcpStream, events: Events) -> Self {
+        Self { writer, events, has_head: false, out: Vec::new(), last_at: None, longest_gap_ms: 0 }
+    }
+
+    fn note_events(&mut self) {
+        let now = monotonic_now();
+        let gap_ms = self.last_at.replace(now).map_or(0, |last| now.millis_since(last));
+        self.longest_gap_ms = self.longest_gap_ms.max(gap_ms);
+    }
+
     /// Relays the events of one server until its part ends.
     async fn part(&mut self, call: &Call<'_>, attempt: &mut Attempt) -> PartEnd {
         let mut bytes = Vec::new();
@@ -173,6 +190,7 @@
             meters::first_event(monotonic_now().millis_since(call.arrived));
         }
         if !events.is_empty() {
+            self.note_events();
             self.out.extend_from_slice(format!("{:x}\r\n", events.len()).as_bytes());
             self.out.extend_from_slice(events);
             self.out.extend_from_slice(b"\r\n");
