Keep the demand for experts in the store for the next coordinator

Cause: after a final fault the new coordinator knew no demand, so the group ran under its first map for 1 s after it had opened (found 36.71 s, switched 37.19 s).

--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -17,8 +17,9 @@
 use smol::Timer;
 
 use super::{
-    EngineControl,
+    DemandStore, EngineControl,
     group::Group,
+    memory::Memory,
     orders::{read_states, send_all},
 };
 use crate::gateway::Gateway;
@@ -26,6 +27,9 @@
 /// The interval in which demand is read. Shorter ones cost more pauses than they save.
 const SAMPLE: Duration = Duration::from_millis(250);
 
+/// The interval in which groups are looked for that are not open yet.
+const WAITING: Duration = Duration::from_millis(60);
+
 /// The pause after groups could not be read, or none is open.
 const REST: Duration = Duration::from_millis(300);
 
@@ -42,9 +46,6 @@
 /// The shortest time between two layouts, in milliseconds.
 const PLAN_INTERVAL_MS: u64 = 900;
 
-/// Tokens of one set that must have been seen before demand means anything, per expert.
-const MIN_TOKENS_PER_EXPERT: f64 = 200.0;
-
 /// The time from the last known step to the step of a switch, in milliseconds. All ranks must be armed by then, or the
 /// group waits.
 const SWITCH_LEAD_MS: f64 = 250.0;
@@ -66,7 +67,12 @@
 const VERSION_STRIDE: u64 = 4_096;
 
 /// Coordinates for ever, while this instance holds the duty.
-pub(crate) async fn run<E: EngineControl>(gateway: Arc<Gateway>, engines: Arc<E>) {
+pub(crate) async fn run<E: EngineControl, D: DemandStore>(
+    gateway: Arc<Gateway>,
+    engines: Arc<E>,
+    demand: Arc<D>,
+) {
+    let mut memory = Memory::new(demand);
     let mut since: Option<Timestamp> = None;
     let mut groups: HashMap<ServiceName, Vec<Group>> = HashMap::new();
     loop {
@@ -79,24 +85,25 @@
             continue;
         }
         let now = monotonic_now();
-        let held_since = *since.get_or_insert_with(|| {
+        if since.is_none() {
             log::info!("group: duty taken");
-            now
-        });
-        if now < held_since.plus_millis(TAKEOVER_MS) {
+            memory.load().await;
+        }
+        if now < since.get_or_insert(now).plus_millis(TAKEOVER_MS) {
             Timer::after(REST).await;
             continue;
         }
-        let round = spawn(round(gateway.clone(), engines.clone(), std::mem::take(&mut groups)));
-        groups = round.await;
-        Timer::after(SAMPLE).await;
+        groups = round(&gateway, &engines, &mut memory, std::mem::take(&mut groups)).await;
+        let is_waiting = groups.values().any(Vec::is_empty);
+        Timer::after(if is_waiting { WAITING } else { SAMPLE }).await;
     }
 }
 
 /// Looks at every group once.
-async fn round<E: EngineControl>(
-    gateway: Arc<Gateway>,
-    engines: Arc<E>,
+async fn round<E: EngineControl, D: DemandStore>(
+    gateway: &Gateway,
+    engines: &Arc<E>,
+    memory: &mut Memory<D>,
     mut known: HashMap<ServiceName, Vec<Group>>,
 ) -> HashMap<ServiceName, Vec<Group>> {
     let Some(serving) = gateway.serving() else {
@@ -112,13 +119,18 @@
         let is_same =
             |group: &Group| group.ranks.iter().all(|rank| servers.iter().any(|s| is_same_life(s, rank)));
         if groups.is_empty() || seen != servers.len() || !groups.iter().all(is_same) {
-            *groups = discover(&engines, &servers, engine).await;
+            *groups = discover(engines, &servers, engine, memory).await;
         }
         let mut kept = Vec::new();
         for mut group in groups.drain(..) {
             group.note_paces(|server| shard.pace(server));
-            if sample(&engines, &mut group).await {
-                improve(&gateway, &engines, &mut group, engine).await;
+            if !sample(engines, &mut group).await {
+                continue;
+            }
+            if group.knows_demand(engine) {
+                memory.note(&group);
+            }
+            if improve(gateway, engines, &mut group, engine).await {
                 kept.push(group);
             }
         }
@@ -132,10 +144,11 @@
 }
 
 /// Finds the open groups among `servers`, settles what a former coordinator left behind, and reads their layouts.
-async fn discover<E: EngineControl>(
+async fn discover<E: EngineControl, D: DemandStore>(
     engines: &Arc<E>,
     servers: &[Arc<ServerRecord>],
     engine: &EngineProfile,
+    memory: &Memory<D>,
 ) -> Vec<Group> {
     let mut by_group: BTreeMap<String, Vec<(Arc<ServerRecord>, RankState)>> = BTreeMap::new();
     for (server, group, state) in read_states(engines, servers).await {
@@ -155,7 +168,11 @@
             continue;
         };
         log::info!(group = name.as_str(), epoch = ranks[0].1.epoch, map = ranks[0].1.map, ranks = ranks.len(); "group: found");
-        groups.push(Group::new(name, ranks, layout, engine, monotonic_now()));
+        let mut group = Group::new(name, ranks, layout, engine, monotonic_now());
+        if let Some(tokens) = memory.recall(&group.name) {
+            group.demand = group.demand.with_tokens(&tokens);
+        }
+        groups.push(group);
     }
     groups
 }
@@ -242,27 +259,26 @@
     is_same
 }
 
-/// Plans a better layout and switches to it if it is worth it.
+/// Plans a better layout and switches to it if it is worth it. Returns false when the state of the ranks is not known any more.
 async fn improve<E: EngineControl>(
     gateway: &Gateway,
     engines: &Arc<E>,
     group: &mut Group,
     engine: &EngineProfile,
-) {
+) -> bool {
     let now = monotonic_now();
     if group.switching_at.is_some_and(|step| group.step >= step) {
         group.switching_at = None;
     }
-    let is_known = group.demand.total() >= MIN_TOKENS_PER_EXPERT * f64::from(engine.experts);
-    if group.switching_at.is_some() || now < group.plan_at || !is_known {
-        return;
+    if group.switching_at.is_some() || now < group.plan_at || !group.knows_demand(engine) {
+        return true;
     }
     let limits = LayoutLimits { placements: engine.placements.into(), spare: engine.spare.into() };
     let plan = plan(&LayoutPlanner::new(limits), group).await;
     let is_worth_it =
         plan.skew_before >= MIN_SKEW && plan.skew_after - 1.0 <= (plan.skew_before - 1.0) * MAX_LEFT;
     if !is_worth_it || plan.copies == 0 {
-        return;
+        return true;
     }
     group.version = next_version(group.version, gateway.duty().term());
     let since = monotonic_now();
@@ -284,6 +300,7 @@
         group.switching_at = Some(step);
         group.layout = plan.layout;
     }
+    matches!(end, SwitchEnd::Switched { .. })
 }
 
 /// Plans one set at a time and lets requests be served in between.
--- a/crates/fuchsiabay-gateway/src/groups/group.rs
+++ b/crates/fuchsiabay-gateway/src/groups/group.rs
@@ -13,6 +13,9 @@
 /// The least number of ranks whose demand is read.
 const MIN_SAMPLED: usize = 4;
 
+/// Tokens of one set that must have been seen before demand means anything, per expert.
+const MIN_TOKENS_PER_EXPERT: f64 = 200.0;
+
 /// The time of a step that is assumed before one was measured, in milliseconds.
 const ASSUMED_STEP_MS: f64 = 60.0;
 
@@ -68,6 +71,11 @@
         }
     }
 
+    /// Returns whether enough was counted to plan a layout from it.
+    pub(super) fn knows_demand(&self, engine: &EngineProfile) -> bool {
+        self.demand.total() >= MIN_TOKENS_PER_EXPERT * f64::from(engine.experts)
+    }
+
     /// Returns the ranks whose demand is read: all that `is_near` accepts, and some others if those are few.
     pub(super) fn sampled_ranks(&self, is_near: impl Fn(&ServerRecord) -> bool) -> Vec<usize> {
         let all = self.ranks.len();
