--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -48,10 +48,10 @@
 
 /// The time from the last known step to the step of a switch, in milliseconds. All ranks must be armed by then, or the
 /// group waits.
-const SWITCH_LEAD_MS: f64 = 250.0;
+const SWITCH_LEAD_MS: f64 = 80.0;
 
 /// Steps that are added to the lead, because the last known step may be a little old.
-const EXTRA_LEAD_STEPS: u64 = 2;
+const EXTRA_LEAD_STEPS: u64 = 1;
 
 /// The time that a rank takes for one copy, in milliseconds.
 const COPY_MS: u64 = 45;
