--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -44,7 +44,13 @@
 const MAX_LEFT: f64 = 0.6;
 
 /// The shortest time between two layouts, in milliseconds.
-const PLAN_INTERVAL_MS: u64 = 900;
+const PLAN_INTERVAL_MS: u64 = 400;
+
+/// The time after a layout within which only a skew of [`URGENT_SKEW`] is worth another one, in milliseconds.
+const CALM_MS: u64 = 900;
+
+/// A skew at which streams fall behind even at moderate load.
+const URGENT_SKEW: f64 = 1.7;
 
 /// The time from the last known step to the step of a switch, in milliseconds. All ranks must be armed by then, or the
 /// group waits.
@@ -275,8 +281,10 @@
     }
     let limits = LayoutLimits { placements: engine.placements.into(), spare: engine.spare.into() };
     let plan = plan(&LayoutPlanner::new(limits), group).await;
+    let is_calm_over = now >= group.plan_at.plus_millis(CALM_MS - PLAN_INTERVAL_MS);
+    let least_skew = if is_calm_over { MIN_SKEW } else { URGENT_SKEW };
     let is_worth_it =
-        plan.skew_before >= MIN_SKEW && plan.skew_after - 1.0 <= (plan.skew_before - 1.0) * MAX_LEFT;
+        plan.skew_before >= least_skew && plan.skew_after - 1.0 <= (plan.skew_before - 1.0) * MAX_LEFT;
     if !is_worth_it || plan.copies == 0 {
         return true;
     }
--- a/crates/fuchsiabay-gateway/src/groups/memory.rs
+++ b/crates/fuchsiabay-gateway/src/groups/memory.rs
@@ -6,12 +6,15 @@
 use fuchsiabay_runtime::{monotonic_now, spawn};
 use serde::{Deserialize, Serialize};
 
-use super::group::Group;
+use super::group::{Group, MIN_TOKENS_PER_EXPERT};
 use crate::SourceError;
 
 /// The interval in which the demand of a group is saved, in milliseconds. Older demand is still far better than none.
 const SAVE_INTERVAL_MS: u64 = 2_500;
 
+/// The weight of recalled demand, relative to the least that a layout is planned from.
+const GUESS_WEIGHT: f64 = 1.5;
+
 /// Demand for the experts of a group.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -32,8 +35,11 @@
         Self { permille: tokens.iter().map(permille).collect(), tokens: group.demand.total() as u64 }
     }
 
+    /// Returns the demand with the weight of a first guess, which new counts outweigh soon.
     fn tokens(&self) -> Vec<Vec<f64>> {
-        let scale = self.tokens as f64 / 1000.0;
+        let experts = self.permille.first().map_or(0, Vec::len) as f64;
+        let guess = (MIN_TOKENS_PER_EXPERT * experts * GUESS_WEIGHT).min(self.tokens as f64);
+        let scale = guess / 1000.0;
         self.permille.iter().map(|set| set.iter().map(|part| f64::from(*part) * scale).collect()).collect()
     }
 }
