--- a/crates/fuchsiabay-gateway/src/daemon.rs
+++ b/crates/fuchsiabay-gateway/src/daemon.rs
@@ -61,8 +61,8 @@
     spawn(follow::follow_servers(gateway.clone(), platform.servers())).detach();
     spawn(membership::run(gateway.clone(), platform.membership())).detach();
     let engines = Arc::new(platform.engines());
-    let demand = Arc::new(platform.demand());
-    spawn(groups::run(gateway.clone(), engines.clone(), demand)).detach();
+
+    spawn(groups::run(gateway.clone(), engines.clone())).detach();
     spawn(groups::watch(gateway.clone(), engines)).detach();
     spawn(follow::tick(gateway.clone())).detach();
     let accept = spawn(caller::serve(gateway.clone(), listener));
--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -17,9 +17,8 @@
 use smol::Timer;
 
 use super::{
-    DemandStore, EngineControl,
+    EngineControl,
     group::Group,
-    memory::Memory,
     orders::{read_states, send_all},
 };
 use crate::gateway::Gateway;
@@ -73,12 +72,7 @@
 const VERSION_STRIDE: u64 = 4_096;
 
 /// Coordinates for ever, while this instance holds the duty.
-pub(crate) async fn run<E: EngineControl, D: DemandStore>(
-    gateway: Arc<Gateway>,
-    engines: Arc<E>,
-    demand: Arc<D>,
-) {
-    let mut memory = Memory::new(demand);
+pub(crate) async fn run<E: EngineControl>(gateway: Arc<Gateway>, engines: Arc<E>) {
     let mut since: Option<Timestamp> = None;
     let mut groups: HashMap<ServiceName, Vec<Group>> = HashMap::new();
     loop {
@@ -93,23 +87,21 @@
         let now = monotonic_now();
         if since.is_none() {
             log::info!("group: duty taken");
-            memory.load().await;
         }
         if now < since.get_or_insert(now).plus_millis(TAKEOVER_MS) {
             Timer::after(REST).await;
             continue;
         }
-        groups = round(&gateway, &engines, &mut memory, std::mem::take(&mut groups)).await;
+        groups = round(&gateway, &engines, std::mem::take(&mut groups)).await;
         let is_waiting = groups.values().any(Vec::is_empty);
         Timer::after(if is_waiting { WAITING } else { SAMPLE }).await;
     }
 }
 
 /// Looks at every group once.
-async fn round<E: EngineControl, D: DemandStore>(
+async fn round<E: EngineControl>(
     gateway: &Gateway,
     engines: &Arc<E>,
-    memory: &mut Memory<D>,
     mut known: HashMap<ServiceName, Vec<Group>>,
 ) -> HashMap<ServiceName, Vec<Group>> {
     let Some(serving) = gateway.serving() else {
@@ -125,7 +117,7 @@
         let is_same =
             |group: &Group| group.ranks.iter().all(|rank| servers.iter().any(|s| is_same_life(s, rank)));
         if groups.is_empty() || seen != servers.len() || !groups.iter().all(is_same) {
-            *groups = discover(engines, &servers, engine, memory).await;
+            *groups = discover(engines, &servers, engine).await;
         }
         let mut kept = Vec::new();
         for mut group in groups.drain(..) {
@@ -133,9 +125,7 @@
             if !sample(engines, &mut group).await {
                 continue;
             }
-            if group.knows_demand(engine) {
-                memory.note(&group);
-            }
+
             if improve(gateway, engines, &mut group, engine).await {
                 kept.push(group);
             }
@@ -150,11 +140,10 @@
 }
 
 /// Finds the open groups among `servers`, settles what a former coordinator left behind, and reads their layouts.
-async fn discover<E: EngineControl, D: DemandStore>(
+async fn discover<E: EngineControl>(
     engines: &Arc<E>,
     servers: &[Arc<ServerRecord>],
     engine: &EngineProfile,
-    memory: &Memory<D>,
 ) -> Vec<Group> {
     let mut by_group: BTreeMap<String, Vec<(Arc<ServerRecord>, RankState)>> = BTreeMap::new();
     for (server, group, state) in read_states(engines, servers).await {
@@ -174,11 +163,7 @@
             continue;
         };
         log::info!(group = name.as_str(), epoch = ranks[0].1.epoch, map = ranks[0].1.map, ranks = ranks.len(); "group: found");
-        let mut group = Group::new(name, ranks, layout, engine, monotonic_now());
-        if let Some(tokens) = memory.recall(&group.name) {
-            group.demand = group.demand.with_tokens(&tokens);
-        }
-        groups.push(group);
+        groups.push(Group::new(name, ranks, layout, engine, monotonic_now()));
     }
     groups
 }
--- a/crates/fuchsiabay-gateway/src/groups/group.rs
+++ b/crates/fuchsiabay-gateway/src/groups/group.rs
@@ -14,7 +14,7 @@
 const MIN_SAMPLED: usize = 4;
 
 /// Tokens of one set that must have been seen before demand means anything, per expert.
-pub(super) const MIN_TOKENS_PER_EXPERT: f64 = 200.0;
+const MIN_TOKENS_PER_EXPERT: f64 = 200.0;
 
 /// The time of a step that is assumed before one was measured, in milliseconds.
 const ASSUMED_STEP_MS: f64 = 60.0;
--- a/crates/fuchsiabay-gateway/src/groups/mod.rs
+++ b/crates/fuchsiabay-gateway/src/groups/mod.rs
@@ -5,12 +5,11 @@
 mod control;
 mod coordinator;
 mod group;
-mod memory;
+
 mod orders;
 mod watch;
 
 pub use control::{DemandSample, EngineControl, EngineError, RankLists};
-pub use memory::{DemandStore, SavedDemand};
 
 pub(crate) use coordinator::run;
 pub(crate) use watch::run as watch;
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -32,7 +32,7 @@
 pub use client::{CallError, CallResponse, HttpClient};
 pub use daemon::{StartError, run};
 pub use dialect::Dialect;
-pub use groups::{DemandSample, DemandStore, EngineControl, EngineError, RankLists, SavedDemand};
+pub use groups::{DemandSample, EngineControl, EngineError, RankLists};
 pub use membership::LEASE_MS;
 pub use settings::GatewaySettings;
 pub use source::{
--- a/crates/fuchsiabay-gateway/src/source.rs
+++ b/crates/fuchsiabay-gateway/src/source.rs
@@ -4,7 +4,7 @@
 
 use fuchsiabay_balancer::{ServerChange, ServerRecord, ServingConfig};
 
-use crate::{DemandStore, EngineControl};
+use crate::EngineControl;
 
 /// Why a source gave nothing.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -69,8 +69,6 @@
     type Membership: MembershipSource;
     /// Reaches the engines.
     type Engines: EngineControl;
-    /// Keeps demand for experts.
-    type Demand: DemandStore;
 
     /// Returns the source of the configuration.
     fn config(&self) -> Self::Config;
@@ -83,7 +81,4 @@
 
     /// Returns the way to the engines.
     fn engines(&self) -> Self::Engines;
-
-    /// Returns the store of demand for experts.
-    fn demand(&self) -> Self::Demand;
 }
--- a/crates/fuchsiabay-lockstep/src/demand.rs
+++ b/crates/fuchsiabay-lockstep/src/demand.rs
@@ -54,19 +54,6 @@
         self.tokens.first().map_or(0.0, |tokens| tokens.iter().sum())
     }
 
-    /// Returns the demand with `tokens` in place of what was counted, as another coordinator knew them.
-    ///
-    /// Tokens of another shape are ignored.
-    #[must_use]
-    pub fn with_tokens(mut self, tokens: &[Vec<f64>]) -> Self {
-        let has_shape =
-            tokens.len() == self.tokens.len() && tokens.iter().all(|set| set.len() == self.experts);
-        if has_shape {
-            self.tokens = tokens.to_vec();
-        }
-        self
-    }
-
     fn decay(&mut self, now: Timestamp) {
         let factor = (-(now.millis_since(self.decayed_to) as f64) / HALF_LIFE_MS).exp2();
         self.decayed_to = self.decayed_to.max(now);
