Let entry instances exchange loads, configuration and directory

Cause: an instance that the store turned away kept its configuration and its directory until the store served it again, and counted other instances' requests only from the servers' own reports.

--- a/crates/fuchsiabay-gateway/src/daemon.rs
+++ b/crates/fuchsiabay-gateway/src/daemon.rs
@@ -3,14 +3,16 @@
 use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
 
 use async_global_executor::GlobalExecutorConfig;
-use fuchsiabay_base::Timestamp;
-use fuchsiabay_runtime::{OpsServer, metrics_export, monotonic_now, spawn};
+use fuchsiabay_base::{Generation, Timestamp};
+use fuchsiabay_runtime::{Identity, OpsServer, PeerListener, metrics_export, monotonic_now, spawn, unix_now};
+use fuchsiabay_wire::Role;
 use smol::{Timer, net::TcpListener};
 
 use crate::{
     GatewaySettings, Platform, caller, follow,
     gateway::Gateway,
     groups, membership,
+    neighbours::{self, Links, NeighbourService},
     signals::{Order, Orders},
 };
 
@@ -59,6 +61,8 @@
     let _ops = bind(ops_listen, OpsServer::start(ops_listen, gateway.clone())).await?;
     spawn(follow::follow_config(gateway.clone(), platform.config())).detach();
     spawn(follow::follow_servers(gateway.clone(), platform.servers())).detach();
+    let peers = bind(gateway.settings.peer_listen, PeerListener::bind(gateway.settings.peer_listen)).await?;
+    start_neighbours(&gateway, peers);
     spawn(membership::run(gateway.clone(), platform.membership())).detach();
     let engines = Arc::new(platform.engines());
 
@@ -85,6 +89,22 @@
     Ok(())
 }
 
+/// Starts to serve and to call the other entry instances.
+fn start_neighbours(gateway: &Arc<Gateway>, peers: PeerListener) {
+    let settings = &gateway.settings;
+    let identity = Identity {
+        role: Role::Entry,
+        instance: settings.instance.clone(),
+        generation: Generation(unix_now().as_millis()),
+        zone: settings.zone.clone(),
+    };
+    let key = settings.shared_key.clone();
+    let service = Arc::new(NeighbourService(gateway.clone()));
+    spawn(peers.serve(identity.clone(), key.clone(), service.clone())).detach();
+    let seeds = settings.seeds.clone();
+    spawn(neighbours::run(gateway.clone(), Links::new(identity, key, service), seeds)).detach();
+}
+
 /// Waits until `earliest`, and then until no request runs or `latest` is reached.
 async fn wait_for_end(gateway: &Gateway, earliest: Timestamp, latest: Timestamp) {
     loop {
--- a/crates/fuchsiabay-gateway/src/follow.rs
+++ b/crates/fuchsiabay-gateway/src/follow.rs
@@ -7,7 +7,10 @@
 use fuchsiabay_runtime::monotonic_now;
 use smol::Timer;
 
-use crate::{ConfigSource, ServerSource, ServerUpdate, SourceError, gateway::Gateway};
+use crate::{
+    ConfigSource, ServerSource, ServerUpdate, SourceError,
+    gateway::{Gateway, StoreRead},
+};
 
 /// The interval in which the directory is read. A server that leaves must get no new work within 2 s.
 const SERVER_POLL: Duration = Duration::from_millis(700);
@@ -20,18 +23,18 @@
 
 /// Follows the configuration for ever.
 pub(crate) async fn follow_config<S: ConfigSource>(gateway: Arc<Gateway>, mut source: S) {
-    let mut dependency = Dependency::new("configuration");
+    let mut dependency = Dependency::new("configuration", StoreRead::Config);
     loop {
         match source.next().await {
-            Ok(None) => dependency.note_ok(),
+            Ok(None) => dependency.note_ok(&gateway),
             Ok(Some(config)) => {
-                dependency.note_ok();
+                dependency.note_ok(&gateway);
                 let (version, routes) = (config.version, config.routes.len());
                 let in_force = gateway.offer_config(Serving::new(config));
                 log::info!(version, routes, in_force; "config: received");
             }
             Err(error) => {
-                dependency.note_error(&error);
+                dependency.note_error(&gateway, &error);
                 Timer::after(RETRY_PAUSE).await;
             }
         }
@@ -40,12 +43,12 @@
 
 /// Follows the directory of backend servers for ever.
 pub(crate) async fn follow_servers<S: ServerSource>(gateway: Arc<Gateway>, mut source: S) {
-    let mut dependency = Dependency::new("directory");
+    let mut dependency = Dependency::new("directory", StoreRead::Directory);
     loop {
         match source.poll().await {
             Ok(update) => {
                 let was_lost = dependency.is_lost;
-                dependency.note_ok();
+                dependency.note_ok(&gateway);
                 gateway.change_directory(|directory, now| {
                     if was_lost {
                         directory.note_outage_end(now);
@@ -56,7 +59,7 @@
                 Timer::after(SERVER_POLL).await;
             }
             Err(error) => {
-                dependency.note_error(&error);
+                dependency.note_error(&gateway, &error);
                 Timer::after(RETRY_PAUSE).await;
             }
         }
@@ -96,21 +99,24 @@
 /// Logs when a dependency is lost and when it is back.
 struct Dependency {
     name: &'static str,
+    read: StoreRead,
     is_lost: bool,
 }
 
 impl Dependency {
-    fn new(name: &'static str) -> Self {
-        Self { name, is_lost: false }
+    fn new(name: &'static str, read: StoreRead) -> Self {
+        Self { name, read, is_lost: false }
     }
 
-    fn note_ok(&mut self) {
+    fn note_ok(&mut self, gateway: &Gateway) {
+        gateway.set_reads(self.read, true);
         if std::mem::replace(&mut self.is_lost, false) {
             log::info!(dependency = self.name; "follow: dependency is back");
         }
     }
 
-    fn note_error(&mut self, error: &SourceError) {
+    fn note_error(&mut self, gateway: &Gateway, error: &SourceError) {
+        gateway.set_reads(self.read, false);
         metrics::counter!("fuchsiabay_store_errors_total", "dependency" => self.name).increment(1);
         if !std::mem::replace(&mut self.is_lost, true) {
             log::warn!(dependency = self.name, error:% = error; "follow: dependency is lost");
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -9,16 +9,30 @@
 };
 
 use fuchsiabay_balancer::{CallerLimits, Directory, Serving, ServingSlot};
-use fuchsiabay_base::{ServiceName, Timestamp};
+use fuchsiabay_base::{InstanceId, ServiceName, Timestamp};
 use fuchsiabay_runtime::{OpsSource, monotonic_now};
 use parking_lot::{Mutex, RwLock};
 use serde_json::{Value, json};
 
 use crate::{
-    GatewaySettings, backend::Connections, drain::Drain, duty::Duty, shard::ServiceShard,
+    GatewaySettings,
+    backend::Connections,
+    drain::Drain,
+    duty::Duty,
+    neighbours::{ExchangeReply, NeighbourTable},
+    shard::ServiceShard,
     usual_deadlines::UsualDeadlines,
 };
 
+/// What is read from the store.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StoreRead {
+    /// The configuration.
+    Config,
+    /// The directory of backend servers.
+    Directory,
+}
+
 /// The shared state. Each service has a shard under a lock of its own.
 pub(crate) struct Gateway {
     pub(crate) settings: GatewaySettings,
@@ -30,6 +44,9 @@
     drain: Drain,
     duty: Duty,
     usual_deadlines: UsualDeadlines,
+    neighbours: NeighbourTable,
+    reads_config: AtomicBool,
+    reads_directory: AtomicBool,
     open_connections: AtomicUsize,
     running_requests: AtomicUsize,
     instances: AtomicUsize,
@@ -47,6 +64,9 @@
             drain: Drain::default(),
             duty: Duty::default(),
             usual_deadlines: UsualDeadlines::default(),
+            neighbours: NeighbourTable::default(),
+            reads_config: AtomicBool::new(false),
+            reads_directory: AtomicBool::new(false),
             open_connections: AtomicUsize::new(0),
             running_requests: AtomicUsize::new(0),
             instances: AtomicUsize::new(1),
@@ -140,6 +160,54 @@
         &self.usual_deadlines
     }
 
+    pub(crate) fn neighbours(&self) -> &NeighbourTable {
+        &self.neighbours
+    }
+
+    /// Returns the version of the configuration in force, or 0 for none.
+    pub(crate) fn config_version(&self) -> u64 {
+        self.serving.read().version()
+    }
+
+    /// Notes whether the store answers questions for `dependency`.
+    pub(crate) fn set_reads(&self, dependency: StoreRead, works: bool) {
+        let flag = match dependency {
+            StoreRead::Config => &self.reads_config,
+            StoreRead::Directory => &self.reads_directory,
+        };
+        flag.store(works, Ordering::Relaxed);
+    }
+
+    /// Returns whether the directory can be read from the store.
+    pub(crate) fn reads_directory(&self) -> bool {
+        self.reads_directory.load(Ordering::Relaxed)
+    }
+
+    /// Returns whether this instance needs nothing from its neighbours.
+    pub(crate) fn is_informed(&self) -> bool {
+        self.reads_directory() && self.reads_config.load(Ordering::Relaxed) && self.config_version() > 0
+    }
+
+    /// Returns this instance's requests at each server.
+    pub(crate) fn own_loads(&self) -> HashMap<InstanceId, u32> {
+        let mut loads = HashMap::new();
+        self.shards().iter().for_each(|shard| shard.own_loads(&mut loads));
+        loads
+    }
+
+    /// Returns the reply to a neighbour that has the configuration `version`.
+    pub(crate) fn exchange_reply(&self, version: u64, wants_directory: bool) -> ExchangeReply {
+        let serving = self.serving();
+        let newer = serving.as_ref().filter(|serving| serving.version() > version);
+        let directory = wants_directory && self.reads_directory();
+        ExchangeReply {
+            config_version: serving.as_ref().map_or(0, |serving| serving.version()),
+            config: newer.map(|serving| serving.config().clone()),
+            directory: directory.then(|| self.directory.lock().changes(monotonic_now())),
+            loads: self.own_loads(),
+        }
+    }
+
     pub(crate) fn duty(&self) -> &Duty {
         &self.duty
     }
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -21,6 +21,7 @@
 mod http;
 mod membership;
 mod meters;
+mod neighbours;
 mod request;
 mod settings;
 mod shard;
--- a/crates/fuchsiabay-gateway/src/membership.rs
+++ b/crates/fuchsiabay-gateway/src/membership.rs
@@ -29,10 +29,12 @@
                 } else {
                     gateway.duty().lose();
                 }
-                if gateway.instances() != view.instances {
-                    log::info!(instances = view.instances, term = view.term; "membership: changed");
+                let instances = view.members.len();
+                if gateway.instances() != instances.max(1) {
+                    log::info!(instances, term = view.term; "membership: changed");
                 }
-                gateway.set_instances(view.instances);
+                gateway.set_instances(instances);
+                gateway.neighbours().note_known(view.members);
                 RENEW
             }
             Err(error) => {
--- a/crates/fuchsiabay-gateway/src/settings.rs
+++ b/crates/fuchsiabay-gateway/src/settings.rs
@@ -5,6 +5,8 @@
 use fuchsiabay_balancer::RetryLimits;
 use fuchsiabay_base::{InstanceId, ZoneName};
 
+use fuchsiabay_wire::SharedKey;
+
 use crate::Dialect;
 
 /// The settings of a gateway, checked before.
@@ -18,6 +20,12 @@
     pub listen: SocketAddr,
     /// Where it serves readiness, metrics and state.
     pub ops_listen: SocketAddr,
+    /// Where it takes calls of other entry instances.
+    pub peer_listen: SocketAddr,
+    /// Where other entry instances may be found before any is known.
+    pub seeds: Vec<SocketAddr>,
+    /// The key that all entry instances share.
+    pub shared_key: SharedKey,
     /// Header names of the deployment.
     pub dialect: &'static Dialect,
     /// The retry budget that all instances share.
--- a/crates/fuchsiabay-gateway/src/source.rs
+++ b/crates/fuchsiabay-gateway/src/source.rs
@@ -1,6 +1,6 @@
 //! Where the configuration and the directory of backend servers come from.
 
-use std::future::Future;
+use std::{future::Future, net::SocketAddr};
 
 use fuchsiabay_balancer::{ServerChange, ServerRecord, ServingConfig};
 
@@ -40,10 +40,10 @@
 }
 
 /// What a renewal of the membership told.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Debug, PartialEq, Eq)]
 pub struct MembershipView {
-    /// The instances that are members.
-    pub instances: usize,
+    /// Where the members take calls of their neighbours.
+    pub members: Vec<SocketAddr>,
     /// Whether this instance holds the duty of coordinating.
     pub holds_duty: bool,
     /// Numbers the changes of the membership. The holders of two terms differ.
