Test the gateway against stand-ins, and keep a slow attempt that has nowhere to go

They found a fault: an idempotent request that took longer than 1.5 times its goal was cut off even when no other server had a place, and ended with 502. It is moved now only if a place is free elsewhere (test slow_safe_is_moved and the two shutdown tests, which failed before).

--- a/crates/fuchsiabay-balancer/src/pool/queries.rs
+++ b/crates/fuchsiabay-balancer/src/pool/queries.rs
@@ -92,6 +92,11 @@
         Some((i, grant))
     }
 
+    /// Returns whether a place is free for `job`.
+    pub fn has_place(&self, job: &Job, now: Timestamp) -> bool {
+        self.find_place(job, now).is_some()
+    }
+
     /// Returns how much slower than usual a server works. 1 is usual.
     pub fn pace(&self, server: &InstanceId) -> f64 {
         self.members.iter().find(|member| member.record.id == *server).map_or(1.0, |member| member.pace)
--- a/crates/fuchsiabay-gateway/src/daemon.rs
+++ b/crates/fuchsiabay-gateway/src/daemon.rs
@@ -2,7 +2,7 @@
 
 use std::{future::Future, io, net::SocketAddr, sync::Arc, time::Duration};
 
-use async_global_executor::GlobalExecutorConfig;
+use async_global_executor::{GlobalExecutorConfig, Task};
 use fuchsiabay_base::{Generation, Timestamp};
 use fuchsiabay_runtime::{Identity, OpsServer, PeerListener, metrics_export, monotonic_now, spawn, unix_now};
 use fuchsiabay_wire::Role;
@@ -54,41 +54,72 @@
     reload: impl Fn(),
 ) -> Result<(), StartError> {
     let mut orders = Orders::new().map_err(StartError::Signals)?;
-    let listener = bind(settings.listen, TcpListener::bind(settings.listen)).await?;
-    let stop_timeout_ms = settings.stop_timeout_ms;
-    let gateway = Arc::new(Gateway::new(settings));
-    let ops_listen = gateway.settings.ops_listen;
-    let _ops = bind(ops_listen, OpsServer::start(ops_listen, gateway.clone())).await?;
-    spawn(follow::follow_config(gateway.clone(), platform.config())).detach();
-    spawn(follow::follow_servers(gateway.clone(), platform.servers())).detach();
-    let peers = bind(gateway.settings.peer_listen, PeerListener::bind(gateway.settings.peer_listen)).await?;
-    start_neighbours(&gateway, peers);
-    spawn(membership::run(gateway.clone(), platform.membership())).detach();
-    let engines = Arc::new(platform.engines());
-
-    spawn(groups::run(gateway.clone(), engines.clone())).detach();
-    spawn(groups::watch(gateway.clone(), engines)).detach();
-    spawn(follow::tick(gateway.clone())).detach();
-    let accept = spawn(caller::serve(gateway.clone(), listener));
-    log::info!(
-        instance = gateway.settings.instance.as_str(), zone = gateway.settings.zone.as_str(),
-        listen:% = gateway.settings.listen, version = env!("CARGO_PKG_VERSION");
-        "gateway: started"
-    );
+    let running = RunningGateway::start(settings, &platform).await?;
     while orders.next().await == Order::Reload {
         reload();
     }
-    let now = monotonic_now();
-    let stop_at = now.plus_millis(stop_timeout_ms.saturating_sub(STOP_MARGIN_MS));
-    let refuse_at = now.plus_millis(ACCEPT_AFTER_STOP_MS).min(stop_at);
-    gateway.drain().start(refuse_at);
-    log::info!(running = gateway.running_requests(); "gateway: stopping");
-    wait_for_end(&gateway, refuse_at, stop_at).await;
-    accept.cancel().await;
-    log::info!(running = gateway.running_requests(); "gateway: stopped");
+    running.stop().await;
     Ok(())
 }
 
+/// A gateway that runs in this process.
+pub struct RunningGateway {
+    gateway: Arc<Gateway>,
+    listen: SocketAddr,
+    accept: Task<()>,
+    ops: OpsServer,
+}
+
+impl RunningGateway {
+    /// Binds the addresses and starts to serve.
+    pub async fn start<P: Platform>(settings: GatewaySettings, platform: &P) -> Result<Self, StartError> {
+        let listener = bind(settings.listen, TcpListener::bind(settings.listen)).await?;
+        let listen = listener.local_addr().map_err(|error| StartError::Listen(settings.listen, error))?;
+        let gateway = Arc::new(Gateway::new(settings));
+        let ops_listen = gateway.settings.ops_listen;
+        let ops = bind(ops_listen, OpsServer::start(ops_listen, gateway.clone())).await?;
+        let peers =
+            bind(gateway.settings.peer_listen, PeerListener::bind(gateway.settings.peer_listen)).await?;
+        start_neighbours(&gateway, peers);
+        spawn(follow::follow_config(gateway.clone(), platform.config())).detach();
+        spawn(follow::follow_servers(gateway.clone(), platform.servers())).detach();
+        spawn(membership::run(gateway.clone(), platform.membership())).detach();
+        let engines = Arc::new(platform.engines());
+        spawn(groups::run(gateway.clone(), engines.clone())).detach();
+        spawn(groups::watch(gateway.clone(), engines)).detach();
+        spawn(follow::tick(gateway.clone())).detach();
+        let accept = spawn(caller::serve(gateway.clone(), listener));
+        log::info!(
+            instance = gateway.settings.instance.as_str(), zone = gateway.settings.zone.as_str(),
+            listen:% = listen, version = env!("CARGO_PKG_VERSION");
+            "gateway: started"
+        );
+        Ok(Self { gateway, listen, accept, ops })
+    }
+
+    /// Returns where it accepts callers.
+    pub fn listen_addr(&self) -> SocketAddr {
+        self.listen
+    }
+
+    /// Returns where it serves readiness, metrics and state.
+    pub fn ops_addr(&self) -> SocketAddr {
+        self.ops.local_addr()
+    }
+
+    /// Drains: answers what was accepted and refuses the rest, and returns when that is done or the stop timeout has passed.
+    pub async fn stop(self) {
+        let now = monotonic_now();
+        let stop_at = now.plus_millis(self.gateway.settings.stop_timeout_ms.saturating_sub(STOP_MARGIN_MS));
+        let refuse_at = now.plus_millis(ACCEPT_AFTER_STOP_MS).min(stop_at);
+        self.gateway.drain().start(refuse_at);
+        log::info!(running = self.gateway.running_requests(); "gateway: stopping");
+        wait_for_end(&self.gateway, refuse_at, stop_at).await;
+        self.accept.cancel().await;
+        log::info!(running = self.gateway.running_requests(); "gateway: stopped");
+    }
+}
+
 /// Starts to serve and to call the other entry instances.
 fn start_neighbours(gateway: &Arc<Gateway>, peers: PeerListener) {
     let settings = &gateway.settings;
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -146,7 +146,8 @@
     }
 
     pub(crate) fn set_instances(&self, n: usize) {
-        self.instances.store(n.max(1), Ordering::Relaxed);
+        let n = n.max(1);
+        self.instances.store(n, Ordering::Relaxed);
         for shard in self.shards() {
             shard.set_instances(n);
         }
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -31,7 +31,7 @@
 
 pub use agent::{AgentSettings, ENGINE_HEADER, run_agent};
 pub use client::{CallError, CallResponse, HttpClient};
-pub use daemon::{StartError, run};
+pub use daemon::{RunningGateway, StartError, run};
 pub use dialect::Dialect;
 pub use groups::{DemandSample, EngineControl, EngineError, RankLists};
 pub use membership::LEASE_MS;
--- a/crates/fuchsiabay-gateway/src/membership.rs
+++ b/crates/fuchsiabay-gateway/src/membership.rs
@@ -33,7 +33,8 @@
                 if gateway.instances() != instances.max(1) {
                     log::info!(instances, term = view.term; "membership: changed");
                 }
-                gateway.set_instances(instances);
+                // A member whose lease has lapsed still serves its callers.
+                gateway.set_instances(instances.max(1 + gateway.neighbours().loads().1));
                 gateway.neighbours().note_known(view.members);
                 RENEW
             }
--- a/crates/fuchsiabay-gateway/src/request/course.rs
+++ b/crates/fuchsiabay-gateway/src/request/course.rs
@@ -240,27 +240,34 @@
         }
     }
 
-    /// Returns when an attempt counts as slow. Only an idempotent plain request that has another attempt is moved.
+    /// Returns when an attempt counts as slow.
     fn slow_at(&self) -> Timestamp {
         let route = &self.call.route;
-        let has_another = (self.tried.len() as u32) < route.attempts;
-        if route.kind != RouteKind::Safe || !has_another {
+        if route.kind != RouteKind::Safe {
             return self.call.end_at.plus_millis(1);
         }
         monotonic_now().plus_millis(route.goal_ms * HEDGE_PERCENT / 100)
     }
 
-    /// Waits until an attempt should be moved to another server: at `slow_at`, or once the server of an idempotent request has
-    /// gone silent while others answer.
+    /// Waits until an attempt should be moved to another server that has a place: after `slow_at`, or once the server of an
+    /// idempotent request has gone silent while others answer.
     async fn wait_until_slow(&self, server: &InstanceId, slow_at: Timestamp) {
         let may_move =
             self.call.kind().is_idempotent() && (self.tried.len() as u32) < self.call.route.attempts;
         loop {
             let now = monotonic_now();
-            if now >= slow_at || may_move && self.call.shard.is_stalled(server) {
+            let is_slow = now >= slow_at || self.call.shard.is_stalled(server);
+            if may_move
+                && is_slow
+                && self.call.shard.has_place(&self.call.job(&self.tried, self.is_resumption))
+            {
                 return;
             }
-            let next = if may_move { now.plus_millis(STALL_POLL_MS).min(slow_at) } else { slow_at };
+            let next = if now < slow_at {
+                slow_at.min(now.plus_millis(STALL_POLL_MS))
+            } else {
+                now.plus_millis(STALL_POLL_MS)
+            };
             sleep_until(next).await;
         }
     }
--- a/crates/fuchsiabay-gateway/src/shard.rs
+++ b/crates/fuchsiabay-gateway/src/shard.rs
@@ -172,6 +172,11 @@
         self.state.lock().pool.pace(server)
     }
 
+    /// Returns whether `job` could be sent now.
+    pub(crate) fn has_place(&self, job: &Job) -> bool {
+        self.state.lock().pool.has_place(job, monotonic_now())
+    }
+
     /// Returns whether a server has gone silent while others answer.
     pub(crate) fn is_stalled(&self, server: &InstanceId) -> bool {
         self.state.lock().pool.is_stalled(server, monotonic_now())
@@ -207,11 +212,6 @@
         self.state.lock().pool.snapshot(monotonic_now())
     }
 
-    /// Returns all places and the taken ones.
-    pub(crate) fn places(&self) -> (u32, u32) {
-        self.state.lock().pool.places(monotonic_now())
-    }
-
     fn finish(&self, grant: &Grant, outcome: Outcome, was_answered: bool) {
         let mut state = self.state.lock();
         let (grants, ejected) = state.pool.finish(grant, outcome, was_answered, monotonic_now());
--- /dev/null
+++ b/crates/fuchsiabay-gateway/tests/support/platform.rs
@@ -0,0 +1,113 @@
+//! A stand-in for the platform: configuration and directory from memory.
+
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use fuchsiabay_balancer::{ServerRecord, ServingConfig};
+use fuchsiabay_gateway::{
+    ConfigSource, DemandSample, EngineControl, EngineError, MembershipSource, MembershipView, Platform,
+    RankLists, ServerSource, ServerUpdate, SourceError,
+};
+use fuchsiabay_lockstep::{Order, OrderReply, RankState};
+use smol::Timer;
+
+/// The interval in which the sources look for news.
+const POLL: Duration = Duration::from_millis(5);
+
+#[derive(Clone, Default)]
+pub struct FakePlatform {
+    pub config: Arc<Mutex<Option<ServingConfig>>>,
+    pub servers: Arc<Mutex<Vec<ServerRecord>>>,
+    /// Whether the store answers.
+    pub is_down: Arc<Mutex<bool>>,
+}
+
+pub struct Source {
+    platform: FakePlatform,
+    seen: u64,
+}
+
+impl Source {
+    fn check(&self) -> Result<(), SourceError> {
+        if *self.platform.is_down.lock().unwrap() {
+            return Err(SourceError::Unavailable("down".to_owned()));
+        }
+        Ok(())
+    }
+}
+
+impl ConfigSource for Source {
+    async fn next(&mut self) -> Result<Option<ServingConfig>, SourceError> {
+        Timer::after(POLL).await;
+        self.check()?;
+        let config = self.platform.config.lock().unwrap().clone();
+        let news = config.filter(|config| config.version != self.seen);
+        self.seen = news.as_ref().map_or(self.seen, |config| config.version);
+        Ok(news)
+    }
+}
+
+impl ServerSource for Source {
+    async fn poll(&mut self) -> Result<ServerUpdate, SourceError> {
+        self.check()?;
+        Ok(ServerUpdate::Listing(self.platform.servers.lock().unwrap().clone()))
+    }
+}
+
+impl MembershipSource for Source {
+    async fn renew(&mut self) -> Result<MembershipView, SourceError> {
+        self.check()?;
+        Ok(MembershipView { members: Vec::new(), holds_duty: false, term: 1 })
+    }
+
+    async fn leave(&mut self) {}
+}
+
+pub struct NoEngines;
+
+impl EngineControl for NoEngines {
+    fn is_near(&self, _: &ServerRecord) -> bool {
+        true
+    }
+
+    async fn state(&self, _: &ServerRecord) -> Result<Option<(String, RankState)>, EngineError> {
+        Ok(None)
+    }
+
+    async fn demand(&self, server: &ServerRecord) -> Result<DemandSample, EngineError> {
+        Err(EngineError { server: server.id.to_string(), reason: "no engine".to_owned() })
+    }
+
+    async fn lists(&self, server: &ServerRecord) -> Result<RankLists, EngineError> {
+        Err(EngineError { server: server.id.to_string(), reason: "no engine".to_owned() })
+    }
+
+    async fn order(&self, _: &ServerRecord, _: &ServerRecord, _: u64, _: &Order) -> OrderReply {
+        OrderReply::Unanswered
+    }
+}
+
+impl Platform for FakePlatform {
+    type Config = Source;
+    type Servers = Source;
+    type Membership = Source;
+    type Engines = NoEngines;
+
+    fn config(&self) -> Source {
+        Source { platform: self.clone(), seen: 0 }
+    }
+
+    fn servers(&self) -> Source {
+        Source { platform: self.clone(), seen: 0 }
+    }
+
+    fn membership(&self) -> Source {
+        Source { platform: self.clone(), seen: 0 }
+    }
+
+    fn engines(&self) -> NoEngines {
+        NoEngines
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-gateway/tests/support/world.rs
@@ -0,0 +1,156 @@
+//! A gateway in front of stand-in servers.
+
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+
+use fuchsiabay_balancer::{
+    CallerLimits, RetryLimits, Route, RouteKind, ServerRecord, ServerState, ServingConfig, Target, Workspace,
+};
+use fuchsiabay_base::{InstanceId, ServiceName, WorkspaceId, ZoneName};
+use fuchsiabay_gateway::{Dialect, GatewaySettings, HttpClient, RunningGateway};
+use fuchsiabay_runtime::monotonic_now;
+use fuchsiabay_wire::SharedKey;
+use smol::Timer;
+
+use super::{Behaviour, Caller, FakeServer, platform::FakePlatform, server::Script};
+
+/// Header names that no deployment has, so that a test notices a name that the library writes by itself.
+pub static DIALECT: Dialect = Dialect {
+    request_id: "X-Call",
+    deadline_ms: "X-Left",
+    stamp: "X-Stamp",
+    workspace: "X-Workspace",
+    expected_server: "X-Server",
+    not_run: "X-Not-Run",
+    load: "X-Load",
+    at_fault: "X-Fault",
+    token_count: "X-Tokens",
+    length_hint: "X-Hint",
+    priority: "X-Priority",
+};
+
+pub struct World {
+    pub gateway: RunningGateway,
+    pub platform: FakePlatform,
+    pub servers: Vec<FakeServer>,
+}
+
+pub fn route(prefix: &str, kind: RouteKind) -> Route {
+    Route {
+        name: prefix.trim_matches('/').to_owned(),
+        host: "h.example".to_owned(),
+        path_prefix: prefix.to_owned(),
+        targets: vec![Target { service: ServiceName::new("s"), weight: 1 }],
+        kind,
+        timeout_ms: 1_000,
+        goal_ms: 200,
+        gap_goal_ms: kind.is_stream().then_some(100),
+        patience_ms: kind.is_stream().then_some(2_000),
+        attempts: if kind == RouteKind::Unsafe { 1 } else { 2 },
+        priority: 1,
+        public: false,
+    }
+}
+
+pub fn config(version: u64) -> ServingConfig {
+    ServingConfig {
+        version,
+        routes: vec![
+            route("/safe/", RouteKind::Safe),
+            route("/unsafe/", RouteKind::Unsafe),
+            route("/stream/", RouteKind::Stream { resumable: true }),
+            route("/once/", RouteKind::Stream { resumable: false }),
+        ],
+        services: [(ServiceName::new("s"), None)].into(),
+        limits: CallerLimits {
+            max_head_bytes: 2_048,
+            max_body_bytes: 100_000,
+            head_timeout_ms: 300,
+            idle_timeout_ms: 600,
+        },
+        workspaces: Some(vec![Workspace {
+            name: WorkspaceId::new("w"),
+            api_keys: vec!["k".to_owned()],
+            priority: None,
+        }]),
+    }
+}
+
+pub fn record(id: usize, server: &FakeServer) -> ServerRecord {
+    ServerRecord {
+        id: InstanceId::new(format!("i-{id}")),
+        service: ServiceName::new("s"),
+        address: server.addr,
+        zone: ZoneName::new("z"),
+        slots: 4,
+        state: ServerState::Ready,
+        born_ms: 1,
+        seq: 1,
+    }
+}
+
+impl World {
+    /// Starts a gateway in front of `count` servers that share `script`.
+    pub async fn start(count: usize, script: &[Behaviour]) -> Self {
+        let script: Script = Arc::new(Mutex::new(script.iter().cloned().collect()));
+        let mut servers = Vec::new();
+        for _ in 0..count {
+            servers.push(FakeServer::start(script.clone()).await);
+        }
+        let platform = FakePlatform::default();
+        *platform.config.lock().unwrap() = Some(config(1));
+        let records = servers.iter().enumerate().map(|(i, server)| record(i, server)).collect();
+        *platform.servers.lock().unwrap() = records;
+        let world = Self::start_with(platform, servers).await;
+        world.wait_until_ready().await;
+        world
+    }
+
+    /// Starts a gateway on `platform` without waiting.
+    pub async fn start_with(platform: FakePlatform, servers: Vec<FakeServer>) -> Self {
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let settings = GatewaySettings {
+            instance: InstanceId::new("test"),
+            zone: ZoneName::new("z"),
+            listen: any,
+            ops_listen: any,
+            peer_listen: any,
+            seeds: Vec::new(),
+            shared_key: SharedKey::new("a key for tests only"),
+            dialect: &DIALECT,
+            retries: RetryLimits { ratio: 0.2, slack: 90, window_ms: 10_000 },
+            stop_timeout_ms: 4_000,
+            max_connections: 100,
+            threads: 1,
+        };
+        let gateway = RunningGateway::start(settings, &platform).await.expect("any port is free");
+        Self { gateway, platform, servers }
+    }
+
+    pub async fn wait_until_ready(&self) {
+        for _ in 0..500 {
+            if self.readiness().await == 200 {
+                return;
+            }
+            Timer::after(Duration::from_millis(10)).await;
+        }
+        panic!("the gateway did not become ready");
+    }
+
+    pub async fn readiness(&self) -> u16 {
+        let mut client = HttpClient::new(self.gateway.ops_addr());
+        let response = client.get("/readyz", monotonic_now().plus_millis(2_000)).await;
+        response.map_or(0, |response| response.status)
+    }
+
+    pub async fn caller(&self) -> Caller {
+        Caller::connect(self.gateway.listen_addr()).await
+    }
+
+    pub fn received(&self) -> usize {
+        self.servers.iter().map(|server| server.received().len()).sum()
+    }
+}
