--- /dev/null
+++ b/crates/fuchsiabay-lockstep/tests/faults.rs
@@ -0,0 +1,238 @@
+//! Switches under lost and late orders and dying coordinators, on virtual time.
+//!
+//! The model keeps the engines' contract: an order may be carried out without a reply, at once or seconds later, and nothing
+//! checks who gave it.
+
+use std::sync::Arc;
+
+use fuchsiabay_base::Timestamp;
+use fuchsiabay_lockstep::{
+    ArmedMap, ExpertLayout, MapSwitch, Order, OrderReply, RankState, Recovery, SwitchEnd, SwitchTiming,
+};
+use fastrand::Rng;
+
+const RANKS: usize = 6;
+/// The time of one step of the group, in milliseconds.
+const STEP_MS: u64 = 50;
+/// The tick of the model, in milliseconds.
+const TICK_MS: u64 = 5;
+/// When faults end, and when the run ends, in milliseconds.
+const FAULTS_END_MS: u64 = 20_000;
+const RUN_MS: u64 = 50_000;
+/// The time after which another coordinator takes over, in milliseconds.
+const TAKEOVER_MS: u64 = 2_100;
+
+#[derive(Clone, Debug, Default)]
+struct Rank {
+    map: u64,
+    highest: u64,
+    prepared: Option<u64>,
+    armed: Option<ArmedMap>,
+    held: Option<u64>,
+}
+
+impl Rank {
+    fn carry_out(&mut self, order: &Order, step: u64) -> OrderReply {
+        match *order {
+            Order::Prepare { version, .. } if self.prepared == Some(version) => OrderReply::Accepted,
+            Order::Prepare { version, .. } if version <= self.highest || self.armed.is_some() => OrderReply::Conflict,
+            Order::Prepare { version, .. } => {
+                (self.highest, self.prepared) = (version, Some(version));
+                OrderReply::Accepted
+            }
+            Order::Hold { step: held } if self.held == Some(held) => OrderReply::Accepted,
+            Order::Hold { step: held } if held <= step || self.held.is_some() => OrderReply::Conflict,
+            Order::Hold { step: held } => {
+                self.held = Some(held);
+                OrderReply::Accepted
+            }
+            Order::Arm { version, step: at } => {
+                let armed = ArmedMap { version, step: Some(at) };
+                if self.armed == Some(armed) {
+                    return OrderReply::Accepted;
+                }
+                if at <= step || self.prepared != Some(version) || self.armed.is_some() {
+                    return OrderReply::Conflict;
+                }
+                self.armed = Some(armed);
+                OrderReply::Accepted
+            }
+            Order::Disarm { version } if self.armed.is_some_and(|armed| armed.version == version) => {
+                self.armed = None;
+                OrderReply::Accepted
+            }
+            Order::Disarm { .. } => OrderReply::Conflict,
+            Order::Release { step: held } if self.held == Some(held) => {
+                self.held = None;
+                OrderReply::Accepted
+            }
+            Order::Release { .. } => OrderReply::Conflict,
+        }
+    }
+}
+
+struct Group {
+    ranks: Vec<Rank>,
+    step: u64,
+    next_step_ms: u64,
+    /// Orders that are carried out later.
+    late: Vec<(u64, usize, Order)>,
+    rng: Rng,
+    /// The share of orders that get no reply, in percent.
+    lost_percent: u32,
+}
+
+impl Group {
+    fn new(seed: u64, lost_percent: u32) -> Self {
+        let ranks = vec![Rank::default(); RANKS];
+        Self { ranks, step: 0, next_step_ms: STEP_MS, late: Vec::new(), rng: Rng::with_seed(seed), lost_percent }
+    }
+
+    /// Gives an order at `now_ms`.
+    fn order(&mut self, rank: usize, order: &Order, now_ms: u64) -> OrderReply {
+        if now_ms < FAULTS_END_MS && self.rng.u32(..100) < self.lost_percent {
+            if self.rng.bool() {
+                self.ranks[rank].carry_out(order, self.step);
+            } else {
+                self.late.push((now_ms + self.rng.u64(2_000..12_000), rank, order.clone()));
+            }
+            return OrderReply::Unanswered;
+        }
+        self.ranks[rank].carry_out(order, self.step)
+    }
+
+    fn advance(&mut self, now_ms: u64) {
+        let (due, later) = std::mem::take(&mut self.late).into_iter().partition(|(at, ..)| *at <= now_ms);
+        self.late = later;
+        for (_, rank, order) in due {
+            self.ranks[rank].carry_out(&order, self.step);
+        }
+        let is_held = self.ranks.iter().any(|rank| rank.held == Some(self.step + 1));
+        if now_ms < self.next_step_ms || is_held {
+            return;
+        }
+        self.step += 1;
+        self.next_step_ms = now_ms + STEP_MS;
+        for rank in &mut self.ranks {
+            if let Some(armed) = rank.armed.filter(|armed| armed.step == Some(self.step)) {
+                rank.map = armed.version;
+                rank.armed = None;
+            }
+        }
+        let maps: Vec<u64> = self.ranks.iter().map(|rank| rank.map).collect();
+        assert!(maps.iter().all(|map| *map == maps[0]), "step {} began under the maps {maps:?}", self.step);
+    }
+
+    fn states(&self) -> Vec<RankState> {
+        let state = |(i, rank): (usize, &Rank)| RankState {
+            epoch: 1,
+            rank: i as u16,
+            size: RANKS as u16,
+            is_open: true,
+            pace: 1.0,
+            step: self.step,
+            map: rank.map,
+            prepared: rank.prepared,
+            armed: rank.armed,
+            held: rank.held,
+        };
+        self.ranks.iter().enumerate().map(state).collect()
+    }
+}
+
+#[derive(Debug)]
+enum Coordinator {
+    Away { until_ms: u64 },
+    Settling,
+    Switching(Box<MapSwitch>),
+}
+
+/// Plays one run. Returns how many switches took place.
+fn play(seed: u64, lost_percent: u32, kill_permille: u32) -> u32 {
+    let mut group = Group::new(seed, lost_percent);
+    let mut rng = Rng::with_seed(!seed);
+    let layout = Arc::new(ExpertLayout { sets: vec![vec![vec![0]; RANKS]] });
+    let mut coordinator = Coordinator::Settling;
+    let mut term = 1;
+    let mut switches = 0;
+    let mut step_before_end = 0;
+    for now_ms in (0..RUN_MS).step_by(TICK_MS as usize) {
+        let now = Timestamp::from_millis(now_ms);
+        group.advance(now_ms);
+        if now_ms < FAULTS_END_MS && rng.u32(..1000) < kill_permille {
+            coordinator = Coordinator::Away { until_ms: now_ms + TAKEOVER_MS };
+        }
+        coordinator = match coordinator {
+            Coordinator::Away { until_ms } if now_ms < until_ms => Coordinator::Away { until_ms },
+            Coordinator::Away { .. } => {
+                term += 1;
+                Coordinator::Settling
+            }
+            Coordinator::Settling => match Recovery::of(&group.states()) {
+                Recovery::Clean if group.ranks.iter().any(|rank| rank.armed.is_some()) => Coordinator::Settling,
+                Recovery::Clean => {
+                    let highest = group.ranks.iter().map(|rank| rank.highest).max().unwrap_or(0);
+                    let version = (highest / 100 + 1) * 100 + term;
+                    let timing = SwitchTiming {
+                        copied_at: now.plus_millis(100),
+                        prepare_by: now.plus_millis(2_500),
+                        lead_steps: 2,
+                    };
+                    Coordinator::Switching(Box::new(MapSwitch::new(version, layout.clone(), group.step, timing)))
+                }
+                Recovery::Orders(orders) => {
+                    for (rank, order) in orders {
+                        group.order(rank, &order, now_ms);
+                    }
+                    Coordinator::Settling
+                }
+            },
+            Coordinator::Switching(mut switch) => {
+                switch.note_step(group.step);
+                for (rank, order) in switch.poll(now) {
+                    let reply = group.order(rank, &order, now_ms);
+                    switch.note_reply(rank, &order, reply, now);
+                }
+                if switch.needs_states() {
+                    for (rank, state) in group.states().iter().enumerate() {
+                        switch.note_state(rank, state, now);
+                    }
+                }
+                match switch.end() {
+                    None => Coordinator::Switching(switch),
+                    Some(end) => {
+                        switches += u32::from(matches!(end, SwitchEnd::Switched { .. }));
+                        Coordinator::Settling
+                    }
+                }
+            }
+        };
+        if now_ms == RUN_MS - 10_000 {
+            step_before_end = group.step;
+        }
+    }
+    assert!(group.step > step_before_end + 50, "the group stands still at step {}", group.step);
+    switches
+}
+
+fn check(runs: u64, lost_percent: u32, kill_permille: u32, least_switches: u32) {
+    for seed in 0..runs {
+        let switches = play(seed, lost_percent, kill_permille);
+        assert!(switches >= least_switches, "seed {seed}: {switches} switches");
+    }
+}
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident($($arg:expr),*);)*) => {
+        $($(#[$doc])* #[test] fn $name() { check($($arg),*); })*
+    };
+}
+
+cases! {
+    calm_groups_switch(20, 0, 0, 100);
+    /// Guards against ranks that begin a step under different maps because an order was lost or late.
+    lost_and_late_orders(300, 35, 0, 30);
+    /// Guards against a hold that nobody releases.
+    dying_coordinators(300, 0, 4, 20);
+    lost_orders_and_dying_coordinators(300, 25, 3, 10);
+}
