--- /dev/null
+++ b/crates/fuchsiabay-balancer/tests/pool.rs
@@ -0,0 +1,201 @@
+//! Which server gets a request, which requests wait, and which are refused.
+
+use std::sync::Arc;
+
+use fuchsiabay_balancer::{
+    Admission, EngineProfile, Grant, Job, Outcome, Pool, RefusalReason, ServerRecord, ServerState,
+};
+use fuchsiabay_base::{InstanceId, ServiceName, Timestamp, ZoneName};
+
+const GOAL_MS: u64 = 400;
+const SLOTS: u32 = 2;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + ms)
+}
+
+fn server(id: &str, born_ms: u64) -> Arc<ServerRecord> {
+    Arc::new(ServerRecord {
+        id: InstanceId::new(id),
+        service: ServiceName::new("s"),
+        address: "127.0.0.1:1".parse().unwrap(),
+        zone: ZoneName::new("z"),
+        slots: SLOTS,
+        state: ServerState::Ready,
+        born_ms,
+        seq: 1,
+    })
+}
+
+fn pool(servers: &[&str]) -> Pool {
+    let mut pool = Pool::new(ZoneName::new("z"));
+    let servers: Vec<_> = servers.iter().map(|id| server(id, 1)).collect();
+    pool.set_servers(&servers, at(0));
+    pool
+}
+
+fn job(arrived: Timestamp) -> Job {
+    Job {
+        priority: 1,
+        goal_at: arrived.plus_millis(GOAL_MS),
+        deadline: arrived.plus_millis(2_000),
+        tokens: 10,
+        is_resumption: false,
+        excluded: Vec::new(),
+    }
+}
+
+fn grant(pool: &mut Pool, now: Timestamp) -> Grant {
+    match pool.admit(job(now), now) {
+        Admission::Granted(grant) => grant,
+        other => panic!("no place: {other:?}"),
+    }
+}
+
+/// Guards against piling requests onto one server, and against sending more than a server runs.
+#[test]
+fn places_are_spread_and_bounded() {
+    let mut pool = pool(&["a", "b", "c"]);
+    let mut ids: Vec<_> = (0..6).map(|_| grant(&mut pool, at(0)).server.id.to_string()).collect();
+    ids.sort();
+    assert_eq!(ids, ["a", "a", "b", "b", "c", "c"]);
+    assert!(matches!(pool.admit(job(at(0)), at(0)), Admission::Queued(_)));
+}
+
+/// Guards against work for servers that other instances have filled.
+#[test]
+fn reported_load_counts() {
+    let mut pool = pool(&["a", "b"]);
+    pool.note_total(&InstanceId::new("a"), SLOTS, at(0));
+    assert_eq!(grant(&mut pool, at(10)).server.id.as_str(), "b");
+    assert_eq!(grant(&mut pool, at(10)).server.id.as_str(), "b");
+    assert!(matches!(pool.admit(job(at(10)), at(10)), Admission::Queued(_)));
+    // The report is too old to hold the place back any longer.
+    assert_eq!(pool.dispatch(at(1_600)).len(), 1);
+}
+
+/// Guards against new work for a server that left, and against a place that is lost with it.
+#[test]
+fn leaving_server_gets_nothing_and_its_places_end() {
+    let mut pool = pool(&["a"]);
+    let held = grant(&mut pool, at(0));
+    pool.set_servers(&[server("b", 1)], at(1));
+    assert_eq!(grant(&mut pool, at(2)).server.id.as_str(), "b");
+    pool.finish(&held, Outcome::Success, true, at(3));
+    assert_eq!(pool.snapshot(at(3)).servers.len(), 1);
+}
+
+/// Guards against waiting when nobody is there to wait for.
+#[test]
+fn no_server_is_refused_at_once() {
+    let mut pool = pool(&[]);
+    let Admission::Refused(refusal) = pool.admit(job(at(0)), at(0)) else {
+        panic!("not refused");
+    };
+    assert_eq!(refusal.reason, RefusalReason::NoServer);
+    assert!(refusal.retry_after_ms > 0);
+}
+
+/// Guards against a burst that makes every later request late: the one that can be on time goes first, and what is late takes
+/// no place that others will need.
+#[test]
+fn requests_that_can_be_on_time_go_first() {
+    let mut pool = pool(&["a"]);
+    let held: Vec<_> = (0..SLOTS).map(|_| grant(&mut pool, at(0))).collect();
+    let Admission::Queued(early) = pool.admit(job(at(0)), at(0)) else {
+        panic!("not queued");
+    };
+    let Admission::Queued(fresh) = pool.admit(job(at(380)), at(380)) else {
+        panic!("not queued");
+    };
+    // The first one has missed its goal by now.
+    let (granted, _) = pool.finish(&held[0], Outcome::Success, true, at(420));
+    assert_eq!(granted.iter().map(|(id, _)| *id).collect::<Vec<_>>(), [fresh]);
+    let (granted, _) = pool.finish(&held[1], Outcome::Success, true, at(430));
+    assert!(granted.iter().all(|(id, _)| *id == early));
+}
+
+/// Guards against a queue that keeps requests until their callers have left.
+#[test]
+fn wait_that_outlasts_the_request_is_refused() {
+    let mut pool = pool(&["a"]);
+    let held: Vec<_> = (0..SLOTS).map(|_| grant(&mut pool, at(0))).collect();
+    drop(held);
+    let mut refused = 0;
+    for _ in 0..100 {
+        if let Admission::Refused(refusal) = pool.admit(job(at(0)), at(0)) {
+            assert_eq!(refusal.reason, RefusalReason::WaitTooLong);
+            assert!(refusal.retry_after_ms >= 200);
+            refused += 1;
+        }
+    }
+    assert!(refused > 50, "{refused} of 100 refused");
+}
+
+/// Guards against sending request after request to a server that fails.
+#[test]
+fn failing_server_is_ejected_and_tried_again() {
+    let mut pool = pool(&["a", "b"]);
+    for i in 0..20 {
+        let now = at(i * 10);
+        let grant = grant(&mut pool, now);
+        let outcome = if grant.server.id.as_str() == "a" { Outcome::Failure } else { Outcome::Success };
+        pool.finish(&grant, outcome, true, now);
+    }
+    let now = at(300);
+    assert!((0..SLOTS).all(|_| grant(&mut pool, now).server.id.as_str() == "b"));
+    // After the ejection one request tries the server out.
+    let later = at(1_500);
+    assert_eq!(grant(&mut pool, later).server.id.as_str(), "a");
+    assert!(matches!(pool.admit(job(later), later), Admission::Queued(_)));
+}
+
+/// Guards against requests that wait at a server whose machine is frozen while others answer.
+#[test]
+fn silent_server_is_passed_over() {
+    let mut pool = pool(&["a", "b"]);
+    let silent = grant(&mut pool, at(0));
+    let (mut now, other) = (at(0), if silent.server.id.as_str() == "a" { "b" } else { "a" });
+    for i in 1..=8 {
+        now = at(i * 100);
+        let grant = grant(&mut pool, now);
+        if grant.server.id != silent.server.id {
+            pool.note_answered(&grant, now);
+            pool.finish(&grant, Outcome::Success, true, now);
+        }
+    }
+    assert!(pool.is_stalled(&silent.server.id, now));
+    assert_eq!(grant(&mut pool, now).server.id.as_str(), other);
+}
+
+/// Guards against requests to a group that cannot run them, and against leaving them behind when it opens.
+#[test]
+fn blocked_servers_wait_for_their_group() {
+    let mut pool = pool(&["a"]);
+    pool.block_all(at(500));
+    assert!(matches!(pool.admit(job(at(0)), at(0)), Admission::Queued(_)));
+    assert!(pool.dispatch(at(400)).is_empty());
+    pool.set_blocked(&InstanceId::new("a"), None);
+    assert_eq!(pool.dispatch(at(400)).len(), 1);
+}
+
+/// Guards against a profile whose prediction is off by an order: 12 requests of usual size take one to two seconds.
+#[test]
+fn holding_time_follows_the_profile() {
+    let engine = EngineProfile {
+        slots: 12,
+        kv_capacity: 372_000,
+        stride: 5,
+        step_ms: 5.85,
+        per_request_ms: 0.355,
+        context_ms_per_k: 0.036,
+        prefill_per_s: 61_200.0,
+        usual_prompt: 835.0,
+        usual_answer: 139.0,
+        sets: 4,
+        experts: 64,
+        placements: 5,
+        spare: 2,
+    };
+    assert!((1_000.0..2_000.0).contains(&engine.holding_time_ms()), "{}", engine.holding_time_ms());
+}
--- a/crates/fuchsiabay-lockstep/tests/faults.rs
+++ b/crates/fuchsiabay-lockstep/tests/faults.rs
@@ -5,11 +5,11 @@
 
 use std::sync::Arc;
 
+use fastrand::Rng;
 use fuchsiabay_base::Timestamp;
 use fuchsiabay_lockstep::{
     ArmedMap, ExpertLayout, MapSwitch, Order, OrderReply, RankState, Recovery, SwitchEnd, SwitchTiming,
 };
-use fastrand::Rng;
 
 const RANKS: usize = 6;
 /// The time of one step of the group, in milliseconds.
@@ -35,7 +35,9 @@
     fn carry_out(&mut self, order: &Order, step: u64) -> OrderReply {
         match *order {
             Order::Prepare { version, .. } if self.prepared == Some(version) => OrderReply::Accepted,
-            Order::Prepare { version, .. } if version <= self.highest || self.armed.is_some() => OrderReply::Conflict,
+            Order::Prepare { version, .. } if version <= self.highest || self.armed.is_some() => {
+                OrderReply::Conflict
+            }
             Order::Prepare { version, .. } => {
                 (self.highest, self.prepared) = (version, Some(version));
                 OrderReply::Accepted
@@ -85,7 +87,14 @@
 impl Group {
     fn new(seed: u64, lost_percent: u32) -> Self {
         let ranks = vec![Rank::default(); RANKS];
-        Self { ranks, step: 0, next_step_ms: STEP_MS, late: Vec::new(), rng: Rng::with_seed(seed), lost_percent }
+        Self {
+            ranks,
+            step: 0,
+            next_step_ms: STEP_MS,
+            late: Vec::new(),
+            rng: Rng::with_seed(seed),
+            lost_percent,
+        }
     }
 
     /// Gives an order at `now_ms`.
@@ -169,7 +178,9 @@
                 Coordinator::Settling
             }
             Coordinator::Settling => match Recovery::of(&group.states()) {
-                Recovery::Clean if group.ranks.iter().any(|rank| rank.armed.is_some()) => Coordinator::Settling,
+                Recovery::Clean if group.ranks.iter().any(|rank| rank.armed.is_some()) => {
+                    Coordinator::Settling
+                }
                 Recovery::Clean => {
                     let highest = group.ranks.iter().map(|rank| rank.highest).max().unwrap_or(0);
                     let version = (highest / 100 + 1) * 100 + term;
@@ -178,7 +189,12 @@
                         prepare_by: now.plus_millis(2_500),
                         lead_steps: 2,
                     };
-                    Coordinator::Switching(Box::new(MapSwitch::new(version, layout.clone(), group.step, timing)))
+                    Coordinator::Switching(Box::new(MapSwitch::new(
+                        version,
+                        layout.clone(),
+                        group.step,
+                        timing,
+                    )))
                 }
                 Recovery::Orders(orders) => {
                     for (rank, order) in orders {
