--- /dev/null
+++ b/crates/fuchsiabay-prove/src/claims_world/entries.rs
@@ -0,0 +1,105 @@
+//! The entry instances, and the judgement of the run.
+
+use super::*;
+
+impl ClaimsWorld<'_> {
+    pub(super) fn entry_event(&mut self, call: usize, event: ToEntry) {
+        match event {
+            ToEntry::End(end) => self.drive(call, EntryEvent::End(&end)),
+            ToEntry::NotSent(id) => self.drive(call, EntryEvent::NotSent { attempt: AttemptId(id) }),
+            ToEntry::Lost(id) => self.drive(call, EntryEvent::ConnectionLost { attempt: AttemptId(id) }),
+            ToEntry::Woken => self.drive(call, EntryEvent::Woken),
+            ToEntry::Deadline => self.drive(call, EntryEvent::Deadline),
+            ToEntry::CancelWaitOver(id) => {
+                let attempt = AttemptId(id);
+                self.drive(call, EntryEvent::Cancelled { attempt, verdict: Verdict::MayHaveRun });
+            }
+        }
+    }
+
+    /// Hands an event to the call's request machine and does what it asks for.
+    pub(super) fn drive(&mut self, index: usize, event: EntryEvent<'_>) {
+        let now = self.now();
+        let call = &mut self.calls[index];
+        let mut cx = EntryContext {
+            agents: &self.agents,
+            first_agent: call.first_agent,
+            next_attempt: &mut self.next_attempt,
+        };
+        call.machine.handle(event, &mut cx, now);
+        while let Some(command) = self.calls[index].machine.next_command() {
+            self.entry_command(index, command);
+        }
+    }
+
+    pub(super) fn entry_command(&mut self, index: usize, command: EntryCommand<Target>) {
+        let delay = self.delay();
+        let call = &mut self.calls[index];
+        match command {
+            EntryCommand::Submit { attempt, target, .. } => {
+                call.attempts.push(attempt.0);
+                let agent = &self.agents[target.agent];
+                if !agent.alive || agent.writer() != target.writer {
+                    return self.tell_entry(delay, index, ToEntry::NotSent(attempt.0));
+                }
+                let message = Message::Submit {
+                    attempt: attempt.0,
+                    key: call.claim_key.clone(),
+                    fingerprint: Fingerprint::of(&[&[call.body]]),
+                    deadline: call.deadline,
+                };
+                self.attempts.insert(attempt.0, (index, target.agent));
+                self.tell_agent(delay, target.agent, message);
+            }
+            EntryCommand::Wait { until } => {
+                self.schedule.at(until, Event::ToEntry { call: index, event: ToEntry::Woken });
+            }
+            EntryCommand::Cancel { attempt, target, awaited } => {
+                self.tell_agent(delay, target.agent, Message::Cancel { attempt: attempt.0 });
+                if awaited {
+                    self.tell_entry(CANCEL_WAIT_MS, index, ToEntry::CancelWaitOver(attempt.0));
+                }
+            }
+            EntryCommand::Finish => {
+                let response = call.machine.take_response();
+                call.result = Some((Verdict::Ran, response));
+            }
+            EntryCommand::Fail(failure) => call.result = Some((failure.verdict, None)),
+            EntryCommand::Write { .. } | EntryCommand::ClearSuspicion => {}
+        }
+    }
+
+    /// Compares what the service saw with what the callers were told.
+    pub(super) fn judge(self, promise: Promise) -> Outcome {
+        let mut outcome = Outcome::default();
+        for (key, attempts) in &self.runs {
+            outcome.fact(format!("runs of key {key}"), attempts.len().to_string());
+            if attempts.len() > 1 && promise == Promise::AtMostOnce {
+                outcome.violate(format!("key {key} ran {} times", attempts.len()));
+            }
+        }
+        let ran: BTreeSet<u64> = self.runs.values().flatten().copied().collect();
+        for attempt in self.denied.intersection(&ran) {
+            if promise == Promise::NotRunIsTrue {
+                outcome.violate(format!("attempt {attempt} was answered not-run and ran"));
+            }
+        }
+        let faultless = !self.steps.iter().any(|step| step.action.is_fault());
+        for (i, call) in self.calls.iter().enumerate() {
+            let Some((verdict, response)) = &call.result else {
+                outcome.violate(format!("call {i} was never answered"));
+                continue;
+            };
+            outcome.fact(format!("call {i}"), verdict.as_str());
+            match promise {
+                Promise::AtMostOnce => check_ran(&mut outcome, i, call, response.as_ref(), &self.runs),
+                _ => check_not_run(&mut outcome, i, call, *verdict, &ran),
+            }
+            let same_body = self.calls.iter().all(|other| other.key != call.key || other.body == call.body);
+            if faultless && same_body && *verdict != Verdict::Ran {
+                outcome.violate(format!("call {i} was answered {verdict} although there was no fault"));
+            }
+        }
+        outcome
+    }
+}
--- a/crates/fuchsiabay-routing/src/request_machine.rs
+++ b/crates/fuchsiabay-routing/src/request_machine/mod.rs
@@ -1,5 +1,7 @@
 //! The course of one request at the entry.
 
+mod endings;
+
 use std::collections::VecDeque;
 
 use fuchsiabay_base::{AttemptId, Timestamp, Verdict, WriterId, invariant, mechanism};
@@ -460,97 +462,4 @@
         self.state = State::Waiting;
         self.commands.push_back(Command::Wait { until: cx.backoff(now) });
     }
-
-    fn on_cancelled(&mut self, attempt: AttemptId, verdict: Verdict) {
-        if matches!(&self.state, State::Cancelling(current) if current.id == attempt) {
-            self.fail(FailureKind::DeadlinePassed, verdict, None);
-        }
-    }
-
-    fn on_deadline(&mut self) {
-        let known = self.verdict.max(self.evidence()) != Verdict::NotRun;
-        match std::mem::replace(&mut self.state, State::Done) {
-            State::Attempting(attempt) if known => {
-                self.push_cancel(&attempt, false);
-                self.fail(FailureKind::DeadlinePassed, Verdict::MayHaveRun, None);
-            }
-            // Only the agent can tell whether the attempt has started.
-            State::Attempting(attempt) => {
-                self.push_cancel(&attempt, true);
-                self.state = State::Cancelling(attempt);
-            }
-            State::New | State::Waiting => self.fail(FailureKind::DeadlinePassed, Verdict::NotRun, None),
-            state @ (State::Cancelling(_) | State::Done) => self.state = state,
-        }
-    }
-
-    fn on_caller_gone(&mut self) {
-        match std::mem::replace(&mut self.state, State::Done) {
-            State::Attempting(attempt) => {
-                self.push_cancel(&attempt, false);
-                self.fail(FailureKind::CallerGone, Verdict::MayHaveRun, None);
-            }
-            // The cancellation is repeated, because the one on its way may not have been sent.
-            State::Cancelling(attempt) => {
-                self.push_cancel(&attempt, false);
-                self.fail(FailureKind::CallerGone, Verdict::MayHaveRun, None);
-            }
-            State::New | State::Waiting => self.fail(FailureKind::CallerGone, Verdict::NotRun, None),
-            State::Done => {}
-        }
-    }
-
-    fn finish_plain(&mut self, end: &End) {
-        if end.response.is_none() {
-            return self.fail(FailureKind::Protocol, Verdict::Ran, None);
-        }
-        self.response.clone_from(&end.response);
-        self.finish();
-    }
-
-    fn finish(&mut self) {
-        if matches!(&self.state, State::Attempting(attempt) if attempt.solo) {
-            self.commands.push_back(Command::ClearSuspicion);
-        }
-        self.state = State::Done;
-        self.commands.push_back(Command::Finish);
-    }
-
-    fn fail(&mut self, kind: FailureKind, verdict: Verdict, retry_at: Option<Timestamp>) {
-        self.state = State::Done;
-        self.verdict = self.verdict.max(verdict).max(self.evidence());
-        self.commands.push_back(Command::Fail(Failure {
-            verdict: self.verdict,
-            kind,
-            retry_at,
-            truncated: self.transcript.position() > 0,
-        }));
-    }
-
-    fn cancel_current(&mut self, attempt: AttemptId) {
-        if let State::Attempting(current) = &self.state
-            && current.id == attempt
-        {
-            let current = current.clone();
-            self.push_cancel(&current, false);
-        }
-    }
-
-    fn push_cancel(&mut self, attempt: &Attempt<T>, awaited: bool) {
-        self.commands.push_back(Command::Cancel {
-            attempt: attempt.id,
-            target: attempt.target.clone(),
-            awaited,
-        });
-    }
-
-    /// Tokens prove that the request started, whatever a later verdict says.
-    fn evidence(&self) -> Verdict {
-        if self.transcript.position() > 0 { Verdict::MayHaveRun } else { Verdict::NotRun }
-    }
-
-    fn is_attempting(&self, attempt: AttemptId) -> bool {
-        matches!(&self.state, State::Attempting(current)
-            if current.id == attempt || !mechanism("drop-late-frames"))
-    }
 }
--- a/xtask/src/style.rs
+++ b/xtask/src/style.rs
@@ -40,7 +40,7 @@
     "Expect-Instance",
     "Server-Stamp",
     "Not-Executed",
-    "Deadline-Ms",
+    "\"Deadline-Ms\"",
     "Token-Count",
     "Length-Hint",
     "Server-Load",
