--- a/crates/fuchsiabay-gateway/src/membership.rs
+++ b/crates/fuchsiabay-gateway/src/membership.rs
@@ -20,6 +20,7 @@
 
 /// Renews the membership for ever.
 pub(crate) async fn run<M: MembershipSource>(gateway: Arc<Gateway>, mut source: M) {
+    let mut known = 0;
     loop {
         let asked_at = boot_now();
         let pause = match source.renew().await {
@@ -30,7 +31,7 @@
                     gateway.duty().lose();
                 }
                 let instances = view.members.len();
-                if gateway.instances() != instances.max(1) {
+                if std::mem::replace(&mut known, instances) != instances {
                     log::info!(instances, term = view.term; "membership: changed");
                 }
                 // A member whose lease has lapsed still serves its callers.
