--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -26,14 +26,14 @@
 /// The interval in which demand is read. Shorter ones cost more pauses than they save.
 const SAMPLE: Duration = Duration::from_millis(250);
 
-/// The interval in which groups are looked for that are not open yet.
-const WAITING: Duration = Duration::from_millis(60);
+/// The interval in which groups are looked at that are not open yet, or have no layout of their own.
+const WAITING: Duration = Duration::from_millis(80);
 
-/// The pause after groups could not be read, or none is open.
-const REST: Duration = Duration::from_millis(300);
+/// The pause while another instance holds the duty.
+const REST: Duration = Duration::from_millis(100);
 
-/// The time for which a new coordinator waits before it looks at the ranks, in milliseconds. Ranks tell their state some
-/// hundred milliseconds late, and a former coordinator's orders must show.
+/// The time for which a new coordinator waits before it touches a group that has had orders, in milliseconds. Ranks tell
+/// their state some hundred milliseconds late, and a former coordinator's orders must show.
 const TAKEOVER_MS: u64 = 500;
 
 /// The least skew that is worth a new layout.
@@ -88,12 +88,10 @@
         if since.is_none() {
             log::info!("group: duty taken");
         }
-        if now < since.get_or_insert(now).plus_millis(TAKEOVER_MS) {
-            Timer::after(REST).await;
-            continue;
-        }
-        groups = round(&gateway, &engines, std::mem::take(&mut groups)).await;
-        let is_waiting = groups.values().any(Vec::is_empty);
+        let is_settled = now >= since.get_or_insert(now).plus_millis(TAKEOVER_MS);
+        groups = round(&gateway, &engines, is_settled, std::mem::take(&mut groups)).await;
+        let is_waiting =
+            groups.values().any(|groups| groups.is_empty() || groups.iter().any(|group| group.is_new));
         Timer::after(if is_waiting { WAITING } else { SAMPLE }).await;
     }
 }
@@ -102,6 +100,7 @@
 async fn round<E: EngineControl>(
     gateway: &Gateway,
     engines: &Arc<E>,
+    is_settled: bool,
     mut known: HashMap<ServiceName, Vec<Group>>,
 ) -> HashMap<ServiceName, Vec<Group>> {
     let Some(serving) = gateway.serving() else {
@@ -117,7 +116,7 @@
         let is_same =
             |group: &Group| group.ranks.iter().all(|rank| servers.iter().any(|s| is_same_life(s, rank)));
         if groups.is_empty() || seen != servers.len() || !groups.iter().all(is_same) {
-            *groups = discover(engines, &servers, engine).await;
+            *groups = discover(engines, &servers, engine, is_settled).await;
         }
         let mut kept = Vec::new();
         for mut group in groups.drain(..) {
@@ -125,7 +124,6 @@
             if !sample(engines, &mut group).await {
                 continue;
             }
-
             if improve(gateway, engines, &mut group, engine).await {
                 kept.push(group);
             }
@@ -144,6 +142,7 @@
     engines: &Arc<E>,
     servers: &[Arc<ServerRecord>],
     engine: &EngineProfile,
+    is_settled: bool,
 ) -> Vec<Group> {
     let mut by_group: BTreeMap<String, Vec<(Arc<ServerRecord>, RankState)>> = BTreeMap::new();
     for (server, group, state) in read_states(engines, servers).await {
@@ -156,6 +155,10 @@
             log::debug!("group: {name} is not whole and open");
             continue;
         }
+        let is_untouched = ranks.iter().all(|(_, state)| state.is_untouched());
+        if !is_settled && !is_untouched {
+            continue;
+        }
         if !settle(engines, &name, &ranks).await {
             continue;
         }
@@ -289,6 +292,7 @@
         "group: switch ended"
     );
     group.plan_at = monotonic_now().plus_millis(PLAN_INTERVAL_MS);
+    group.is_new = false;
     if let SwitchEnd::Switched { step } = end {
         group.switching_at = Some(step);
         group.layout = plan.layout;
--- a/crates/fuchsiabay-gateway/src/groups/group.rs
+++ b/crates/fuchsiabay-gateway/src/groups/group.rs
@@ -40,6 +40,8 @@
     pub(super) step: u64,
     step_seen_at: Timestamp,
     step_ms: f64,
+    /// Whether no layout was planned since the group was found.
+    pub(super) is_new: bool,
     /// The step from which the last switch is in force.
     pub(super) switching_at: Option<u64>,
     /// When the next layout may be planned.
@@ -66,6 +68,7 @@
             demand: ExpertDemand::new(engine.sets.into(), engine.experts.into(), now),
             step_seen_at: now,
             step_ms: ASSUMED_STEP_MS,
+            is_new: true,
             switching_at: None,
             plan_at: now,
         }
--- a/crates/fuchsiabay-gateway/src/membership.rs
+++ b/crates/fuchsiabay-gateway/src/membership.rs
@@ -9,6 +9,9 @@
 /// The interval of the renewals.
 const RENEW: Duration = Duration::from_millis(500);
 
+/// The interval after a change of the membership.
+const RENEW_AFTER_CHANGE: Duration = Duration::from_millis(150);
+
 /// The interval after a failed renewal.
 const RETRY: Duration = Duration::from_millis(300);
 
@@ -21,6 +24,7 @@
 /// Renews the membership for ever.
 pub(crate) async fn run<M: MembershipSource>(gateway: Arc<Gateway>, mut source: M) {
     let mut known = 0;
+    let mut term = 0;
     loop {
         let asked_at = boot_now();
         let pause = match source.renew().await {
@@ -36,8 +40,9 @@
                 }
                 // A member whose lease has lapsed still serves its callers.
                 gateway.set_instances(instances.max(1 + gateway.neighbours().loads().1));
-                gateway.neighbours().note_known(view.members);
-                RENEW
+                gateway.neighbours().note_known(view.members.iter().copied());
+                // A duty that changes hands is taken at the next renewal.
+                if std::mem::replace(&mut term, view.term) == view.term { RENEW } else { RENEW_AFTER_CHANGE }
             }
             Err(error) => {
                 log::debug!("membership: not renewed: {error}");
--- a/crates/fuchsiabay-lockstep/src/rank_state.rs
+++ b/crates/fuchsiabay-lockstep/src/rank_state.rs
@@ -33,3 +33,10 @@
     /// The step that this rank holds back.
     pub held: Option<u64>,
 }
+
+impl RankState {
+    /// Returns whether the rank has had no orders since its group was formed.
+    pub const fn is_untouched(&self) -> bool {
+        self.map == 0 && self.prepared.is_none() && self.armed.is_none() && self.held.is_none()
+    }
+}
