--- a/crates/fuchsiabay-gateway/src/groups/watch.rs
+++ b/crates/fuchsiabay-gateway/src/groups/watch.rs
@@ -15,6 +15,12 @@
 /// The interval in which every group is looked at where asking costs it nothing, in milliseconds.
 const LOOK_MS: u64 = 1_000;
 
+/// The least such interval for each instance that looks, in milliseconds. It bounds what an agent is asked where many look.
+const LOOK_MS_PER_INSTANCE: u64 = 250;
+
+/// Instances that may look into suspicions at the full rate.
+const INSTANCES_AT_FULL_RATE: usize = 6;
+
 /// The interval when asking costs the group pauses.
 const FAR_INTERVAL: Duration = Duration::from_millis(400);
 
@@ -28,7 +34,7 @@
         let now = monotonic_now();
         let is_due = now >= look_at;
         if is_due {
-            look_at = now.plus_millis(LOOK_MS);
+            look_at = now.plus_millis(LOOK_MS.max(LOOK_MS_PER_INSTANCE * gateway.instances() as u64));
         }
         let mut is_far = false;
         for shard in gateway.shards() {
@@ -61,6 +67,7 @@
             }
             shard.note_groups(&view);
         }
-        Timer::after(if is_far { FAR_INTERVAL } else { INTERVAL }).await;
+        let crowd = gateway.instances().div_ceil(INSTANCES_AT_FULL_RATE) as u32;
+        Timer::after(if is_far { FAR_INTERVAL } else { INTERVAL } * crowd).await;
     }
 }
