Send new callers away while a rank is missing, and no requests to slow ranks

Once a rank has been out of reach for 800 ms, callers are asked to come back after 2.5 s; those that have come back may wait; whoever waits is answered 250 ms before it leaves. Ranks that are 1.8 times slower than the fastest get no requests.

--- a/crates/fuchsiabay-balancer/src/pool/admission.rs
+++ b/crates/fuchsiabay-balancer/src/pool/admission.rs
@@ -18,6 +18,8 @@
 pub enum RefusalReason {
     /// No server that it may be sent to is known.
     NoServer,
+    /// The group that runs such requests lacks a rank, and nobody knows for how long.
+    GroupIncomplete,
     /// The wait would outlast what the request has left.
     WaitTooLong,
 }
@@ -27,6 +29,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::NoServer => "no_server",
+            Self::GroupIncomplete => "group_incomplete",
             Self::WaitTooLong => "wait_too_long",
         }
     }
--- a/crates/fuchsiabay-balancer/src/pool/commands.rs
+++ b/crates/fuchsiabay-balancer/src/pool/commands.rs
@@ -71,6 +71,9 @@
         if !self.has_candidate(&job) {
             return Admission::Refused(self.refusal(RefusalReason::NoServer, 0));
         }
+        if self.waits_for_rank(now) && !job.has_returned && !job.is_resumption {
+            return Admission::Refused(self.refusal(RefusalReason::GroupIncomplete, 0));
+        }
         let wait = self.predict_wait_ms(&job, now);
         if wait > self.longest_wait_ms(&job, now) {
             return Admission::Refused(self.refusal(RefusalReason::WaitTooLong, wait));
@@ -166,6 +169,11 @@
         }
     }
 
+    /// Notes whether a rank of a closed group cannot be reached.
+    pub fn set_lacks_ranks(&mut self, lacks_ranks: bool) {
+        self.lacks_ranks = lacks_ranks;
+    }
+
     /// Blocks every server until `until`. The ranks of a group stop together, so the next one would refuse, too.
     pub fn block_all(&mut self, until: Timestamp) {
         self.members.iter_mut().for_each(|member| member.set_blocked(Some(until)));
@@ -197,6 +205,7 @@
     fn refusal(&self, reason: RefusalReason, wait_ms: u64) -> Refusal {
         let retry_after_ms = match reason {
             RefusalReason::NoServer => NO_SERVER_RETRY_AFTER_MS,
+            RefusalReason::GroupIncomplete => MAX_RETRY_AFTER_MS + fastrand::u64(..RETRY_AFTER_SPREAD_MS),
             RefusalReason::WaitTooLong => {
                 wait_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS) + fastrand::u64(..RETRY_AFTER_SPREAD_MS)
             }
--- a/crates/fuchsiabay-balancer/src/pool/mod.rs
+++ b/crates/fuchsiabay-balancer/src/pool/mod.rs
@@ -35,6 +35,8 @@
     members: Vec<Member>,
     waiting: Waiting,
     traffic: Traffic,
+    /// Whether a rank of a closed group cannot be reached.
+    lacks_ranks: bool,
     /// Instances that share the servers.
     instances: usize,
     next_job: u64,
@@ -51,6 +53,7 @@
             members: Vec::new(),
             waiting: Waiting::default(),
             traffic: Traffic::new(USUAL_FIRST_MS, USUAL_HOLDING_MS),
+            lacks_ranks: false,
             instances: 1,
             next_job: 0,
             answered_at: Timestamp::ZERO,
--- a/crates/fuchsiabay-balancer/src/pool/queries.rs
+++ b/crates/fuchsiabay-balancer/src/pool/queries.rs
@@ -16,6 +16,9 @@
 /// The least rate of ends that a prediction assumes, in a second.
 const MIN_RATE_PER_S: f64 = 0.1;
 
+/// How much slower than the fastest rank a rank may be to get requests.
+const SLOW_RANK: f64 = 1.8;
+
 /// The time without any begun response after which a server is passed over, in milliseconds. It is three times what a first
 /// event takes when every place is taken.
 const STALL_MS: u64 = 700;
@@ -55,6 +58,15 @@
         self.members.iter().any(|member| !member.is_leaving && member.is_blocked(now))
     }
 
+    /// Returns whether every server waits for a rank that cannot be reached.
+    ///
+    /// Callers leave after some seconds without a response, and a rank that is gone often takes longer. Whoever has not been
+    /// refused yet may come back when it is there.
+    pub(super) fn waits_for_rank(&self, now: Timestamp) -> bool {
+        let mut present = self.members.iter().filter(|member| !member.is_leaving);
+        self.lacks_ranks && present.all(|member| member.is_blocked(now))
+    }
+
     /// Returns the places of the servers that are not leaving, and how many of them are taken.
     pub fn places(&self, now: Timestamp) -> (u32, u32) {
         let present = || self.members.iter().filter(|member| !member.is_leaving);
@@ -71,13 +83,13 @@
         let fits = |member: &&(usize, &Member)| {
             let member = member.1;
             member.is_choosable(now)
+                && !self.slows_its_group(member)
                 && !self.is_member_stalled(member, now)
                 && member.load(now) < self.place_limit(member)
                 && !is_excluded(member, job)
         };
         let best = self.members.iter().enumerate().filter(|entry| fits(&entry)).min_by_key(|(_, member)| {
             let remote = member.record.zone != self.zone;
-            // A slow server in a lockstep group slows every other one by the requests that it gets.
             let cost = f64::from(member.load(now) + 1) * member.pace;
             ((cost * 100.0) as u64, member.own_tokens, remote, fastrand::u32(..))
         });
@@ -108,6 +120,13 @@
         member.is_some_and(|member| self.is_member_stalled(member, now))
     }
 
+    /// Returns whether requests at the server would slow every other one: it is a rank that is much slower than the fastest.
+    fn slows_its_group(&self, member: &Member) -> bool {
+        let is_lockstep = self.engine.as_ref().is_some_and(|engine| engine.sets > 0);
+        let fastest = self.members.iter().map(|member| member.pace).fold(f64::INFINITY, f64::min);
+        is_lockstep && member.pace > fastest * SLOW_RANK
+    }
+
     fn is_member_stalled(&self, member: &Member, now: Timestamp) -> bool {
         member.silent_ms(now) >= STALL_MS && now.millis_since(self.answered_at) <= OTHERS_ANSWER_MS
     }
--- a/crates/fuchsiabay-balancer/tests/pool.rs
+++ b/crates/fuchsiabay-balancer/tests/pool.rs
@@ -27,6 +27,24 @@
     })
 }
 
+fn profile() -> EngineProfile {
+    EngineProfile {
+        slots: 12,
+        kv_capacity: 372_000,
+        stride: 5,
+        step_ms: 5.85,
+        per_request_ms: 0.355,
+        context_ms_per_k: 0.036,
+        prefill_per_s: 61_200.0,
+        usual_prompt: 835.0,
+        usual_answer: 139.0,
+        sets: 4,
+        experts: 64,
+        placements: 5,
+        spare: 2,
+    }
+}
+
 fn pool(servers: &[&str]) -> Pool {
     let mut pool = Pool::new(ZoneName::new("z"));
     let servers: Vec<_> = servers.iter().map(|id| server(id, 1)).collect();
@@ -40,6 +58,7 @@
         goal_at: arrived.plus_millis(GOAL_MS),
         deadline: arrived.plus_millis(2_000),
         tokens: 10,
+        has_returned: false,
         is_resumption: false,
         excluded: Vec::new(),
     }
@@ -182,20 +201,34 @@
 /// Guards against a profile whose prediction is off by an order: 12 requests of usual size take one to two seconds.
 #[test]
 fn holding_time_follows_the_profile() {
-    let engine = EngineProfile {
-        slots: 12,
-        kv_capacity: 372_000,
-        stride: 5,
-        step_ms: 5.85,
-        per_request_ms: 0.355,
-        context_ms_per_k: 0.036,
-        prefill_per_s: 61_200.0,
-        usual_prompt: 835.0,
-        usual_answer: 139.0,
-        sets: 4,
-        experts: 64,
-        placements: 5,
-        spare: 2,
-    };
+    let engine = profile();
     assert!((1_000.0..2_000.0).contains(&engine.holding_time_ms()), "{}", engine.holding_time_ms());
 }
+
+/// Guards against holding callers until they leave while a rank is gone for an unknown time: 181 were held in vain on one day.
+#[test]
+fn missing_rank_sends_new_callers_away_once() {
+    let mut pool = pool(&["a"]);
+    pool.block_all(at(500));
+    pool.set_lacks_ranks(true);
+    let Admission::Refused(refusal) = pool.admit(job(at(0)), at(0)) else {
+        panic!("not refused");
+    };
+    assert_eq!(refusal.reason, RefusalReason::GroupIncomplete);
+    assert!(refusal.retry_after_ms >= 2_500);
+    let returned = Job { has_returned: true, ..job(at(0)) };
+    assert!(matches!(pool.admit(returned, at(0)), Admission::Queued(_)));
+    pool.set_lacks_ranks(false);
+    assert!(matches!(pool.admit(job(at(0)), at(0)), Admission::Queued(_)));
+}
+
+/// Guards against requests at a slow rank, which slow every other rank of its group.
+#[test]
+fn slow_rank_gets_no_requests() {
+    let mut pool = pool(&["a", "b"]);
+    let engine = EngineProfile { sets: 4, ..profile() };
+    pool.set_engine(Some(&engine));
+    pool.set_pace(&InstanceId::new("a"), 5.0);
+    assert!((0..SLOTS).all(|_| grant(&mut pool, at(0)).server.id.as_str() == "b"));
+    assert!(matches!(pool.admit(job(at(0)), at(0)), Admission::Queued(_)));
+}
--- a/crates/fuchsiabay-gateway/src/groups/watch.rs
+++ b/crates/fuchsiabay-gateway/src/groups/watch.rs
@@ -1,8 +1,8 @@
 //! Finds out which groups are open, once something suggests that one is not.
 
-use std::{sync::Arc, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
-use fuchsiabay_base::{InstanceId, Timestamp};
+use fuchsiabay_base::{InstanceId, ServiceName, Timestamp};
 use fuchsiabay_runtime::monotonic_now;
 use smol::Timer;
 
@@ -24,12 +24,32 @@
 /// The interval when asking costs the group pauses.
 const FAR_INTERVAL: Duration = Duration::from_millis(400);
 
+/// The time for which a rank must be out of reach before callers are sent away, in milliseconds. After a restart of
+/// everything the ranks come back one after the other within it.
+const MISSING_MS: u64 = 800;
+
+/// Since when services have had too few ranks.
+#[derive(Debug, Default)]
+struct Missing(HashMap<ServiceName, Timestamp>);
+
+impl Missing {
+    /// Returns whether `service` has had too few ranks for long.
+    fn lacks_ranks(&mut self, service: &ServiceName, is_short: bool, now: Timestamp) -> bool {
+        if !is_short {
+            self.0.remove(service);
+            return false;
+        }
+        now.millis_since(*self.0.entry(service.clone()).or_insert(now)) >= MISSING_MS
+    }
+}
+
 /// Watches for ever.
 ///
 /// A group that has lost a rank refuses everything until it is formed anew. Requests wait for that here, because each one
 /// that is sent meanwhile is refused and counts against the retry budget.
 pub(crate) async fn run<E: EngineControl>(gateway: Arc<Gateway>, engines: Arc<E>) {
     let mut look_at = Timestamp::ZERO;
+    let mut missing = Missing::default();
     loop {
         let now = monotonic_now();
         let is_due = now >= look_at;
@@ -65,7 +85,9 @@
                     "group: not whole"
                 );
             }
-            shard.note_groups(&view);
+            let is_short = states.iter().any(|(_, _, state)| answered < usize::from(state.size));
+            let lacks_ranks = missing.lacks_ranks(shard.name(), is_short, now);
+            shard.note_groups(&view, lacks_ranks);
         }
         let crowd = gateway.instances().div_ceil(INSTANCES_AT_FULL_RATE) as u32;
         Timer::after(if is_far { FAR_INTERVAL } else { INTERVAL } * crowd).await;
--- a/crates/fuchsiabay-gateway/src/request/call.rs
+++ b/crates/fuchsiabay-gateway/src/request/call.rs
@@ -18,6 +18,10 @@
 /// takes the connection then.
 const STOPPING_RETRY_MS: u64 = 100;
 
+/// The time before a caller leaves at which it is answered at the latest, in milliseconds. Otherwise it never learns that the
+/// request did not run.
+const ANSWER_MARGIN_MS: u64 = 250;
+
 /// The engine's rank for streams of the first priority. Engines take 0 to 9.
 const MAX_ENGINE_PRIORITY: u8 = 9;
 
@@ -103,6 +107,7 @@
             goal_at: self.arrived.plus_millis(self.route.goal_ms).minus_millis(self.spent_ms),
             deadline: self.wait_until(is_resumption),
             tokens: self.tokens,
+            has_returned: self.spent_ms > 0,
             is_resumption,
             excluded: excluded.to_vec(),
         }
@@ -111,7 +116,9 @@
     /// Returns until when the request may wait for a place. Nobody reads a response that begins after the caller has left.
     fn wait_until(&self, is_resumption: bool) -> Timestamp {
         match self.route.patience_ms {
-            Some(ms) if !is_resumption => self.end_at.min(self.arrived.plus_millis(ms)),
+            Some(ms) if !is_resumption => {
+                self.end_at.min(self.arrived.plus_millis(ms)).minus_millis(ANSWER_MARGIN_MS)
+            }
             Some(ms) => self.end_at.min(monotonic_now().plus_millis(ms)),
             None => self.end_at,
         }
--- a/crates/fuchsiabay-gateway/src/shard.rs
+++ b/crates/fuchsiabay-gateway/src/shard.rs
@@ -149,9 +149,12 @@
     }
 
     /// Takes over which servers belong to open groups.
-    pub(crate) fn note_groups(&self, servers: &[(InstanceId, bool)]) {
+    ///
+    /// `lacks_ranks` tells whether one of them cannot be reached.
+    pub(crate) fn note_groups(&self, servers: &[(InstanceId, bool)], lacks_ranks: bool) {
         let now = monotonic_now();
         let mut state = self.state.lock();
+        state.pool.set_lacks_ranks(lacks_ranks);
         for (server, is_open) in servers {
             state.pool.set_blocked(server, (!is_open).then(|| now.plus_millis(BLOCK_MS)));
         }
