--- a/crates/fuchsiabay-gateway/src/request/course.rs
+++ b/crates/fuchsiabay-gateway/src/request/course.rs
@@ -17,6 +17,10 @@
 /// When a caller should come back after a server that it needs was unavailable, in milliseconds.
 const UNAVAILABLE_RETRY_MS: u64 = 700;
 
+/// When a caller should come back after it waited for a place in vain, in milliseconds. The queue that it met is still there a
+/// moment later.
+const QUEUE_TIMEOUT_RETRY_MS: u64 = 2_000;
+
 /// The part of a request's goal after which an idempotent request is tried at another server, in percent. Most responses
 /// come well within the goal, and the second attempt still has time before the deadline.
 const HEDGE_PERCENT: u64 = 150;
@@ -134,7 +138,7 @@
             Interrupt::CallerGone => End::CallerGone,
             Interrupt::DeadlinePassed if self.is_resumption => End::Aborted { reason: "timeout" },
             Interrupt::DeadlinePassed if self.verdict == Verdict::NotRun => {
-                End::Own(OwnResponse::unavailable("timeout_in_queue", UNAVAILABLE_RETRY_MS))
+                End::Own(OwnResponse::unavailable("timeout_in_queue", QUEUE_TIMEOUT_RETRY_MS))
             }
             Interrupt::DeadlinePassed => End::Own(OwnResponse::gateway_timeout(self.verdict)),
         }
