Test the exchange between entry instances and the agent; mend a test that raced

late_requests_are_refused_during_shutdown failed once: it connected some 150 ms before the gateway ended, and a busy machine used those up. It keeps the gateway running with two requests now and sends until it is refused.

--- a/crates/fuchsiabay-gateway/src/agent.rs
+++ b/crates/fuchsiabay-gateway/src/agent.rs
@@ -11,7 +11,7 @@
     time::Duration,
 };
 
-use async_global_executor::GlobalExecutorConfig;
+use async_global_executor::{GlobalExecutorConfig, Task};
 use fuchsiabay_runtime::{monotonic_now, sleep_until, spawn};
 use futures_lite::FutureExt;
 use parking_lot::Mutex;
@@ -75,20 +75,7 @@
 
 async fn serve(settings: AgentSettings, reload: impl Fn()) -> Result<(), StartError> {
     let mut orders = Orders::new().map_err(StartError::Signals)?;
-    let listen = settings.listen;
-    let listener = TcpListener::bind(listen).await.map_err(|error| StartError::Listen(listen, error))?;
-    log::info!(
-        instance = settings.instance.as_str(), listen:% = listen, engine:% = settings.engine,
-        version = env!("CARGO_PKG_VERSION");
-        "agent: started"
-    );
-    let agent = Arc::new(Agent {
-        settings,
-        clients: Mutex::default(),
-        calls: AtomicU64::new(0),
-        unanswered: AtomicU64::new(0),
-    });
-    spawn(accept(agent, listener)).detach();
+    let _running = RunningAgent::start(settings).await?;
     while orders.next().await == Order::Reload {
         reload();
     }
@@ -97,6 +84,38 @@
     Ok(())
 }
 
+/// An agent that runs in this process.
+pub struct RunningAgent {
+    listen: SocketAddr,
+    _accept: Task<()>,
+}
+
+impl RunningAgent {
+    /// Binds the address and starts to serve.
+    pub async fn start(settings: AgentSettings) -> Result<Self, StartError> {
+        let failed = |error| StartError::Listen(settings.listen, error);
+        let listener = TcpListener::bind(settings.listen).await.map_err(failed)?;
+        let listen = listener.local_addr().map_err(failed)?;
+        log::info!(
+            instance = settings.instance.as_str(), listen:% = listen, engine:% = settings.engine,
+            version = env!("CARGO_PKG_VERSION");
+            "agent: started"
+        );
+        let agent = Arc::new(Agent {
+            settings,
+            clients: Mutex::default(),
+            calls: AtomicU64::new(0),
+            unanswered: AtomicU64::new(0),
+        });
+        Ok(Self { listen, _accept: spawn(accept(agent, listener)) })
+    }
+
+    /// Returns where the coordinator reaches the agent.
+    pub fn listen_addr(&self) -> SocketAddr {
+        self.listen
+    }
+}
+
 async fn accept(agent: Arc<Agent>, listener: TcpListener) {
     loop {
         match listener.accept().await {
--- a/crates/fuchsiabay-gateway/src/daemon.rs
+++ b/crates/fuchsiabay-gateway/src/daemon.rs
@@ -73,7 +73,10 @@
 
 impl RunningGateway {
     /// Binds the addresses and starts to serve.
-    pub async fn start<P: Platform>(settings: GatewaySettings, platform: &P) -> Result<Self, StartError> {
+    pub async fn start<P: Platform>(mut settings: GatewaySettings, platform: &P) -> Result<Self, StartError> {
+        let peer_listen = settings.peer_listen;
+        let peers = bind(peer_listen, PeerListener::bind(peer_listen)).await?;
+        settings.peer_listen = peers.local_addr().map_err(|error| StartError::Listen(peer_listen, error))?;
         let listener = bind(settings.listen, TcpListener::bind(settings.listen)).await?;
         let listen = listener.local_addr().map_err(|error| StartError::Listen(settings.listen, error))?;
         let gateway = Arc::new(Gateway::new(settings));
@@ -81,8 +84,6 @@
         let ops = bind(ops_listen, OpsServer::start(ops_listen, gateway.clone())).await?;
         let metrics_listen = gateway.settings.metrics_listen;
         let metrics = bind(metrics_listen, OpsServer::start(metrics_listen, gateway.clone())).await?;
-        let peers =
-            bind(gateway.settings.peer_listen, PeerListener::bind(gateway.settings.peer_listen)).await?;
         start_neighbours(&gateway, peers);
         spawn(follow::follow_config(gateway.clone(), platform.config())).detach();
         spawn(follow::follow_servers(gateway.clone(), platform.servers())).detach();
@@ -105,6 +106,11 @@
         self.listen
     }
 
+    /// Returns where it takes calls of other entry instances.
+    pub fn peer_addr(&self) -> SocketAddr {
+        self.gateway.settings.peer_listen
+    }
+
     /// Returns where it serves readiness, metrics and state.
     pub fn ops_addr(&self) -> SocketAddr {
         self.ops.local_addr()
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -29,7 +29,7 @@
 mod source;
 mod usual_deadlines;
 
-pub use agent::{AgentSettings, ENGINE_HEADER, run_agent};
+pub use agent::{AgentSettings, ENGINE_HEADER, RunningAgent, run_agent};
 pub use client::{CallError, CallResponse, HttpClient};
 pub use daemon::{RunningGateway, StartError, run};
 pub use dialect::Dialect;
--- a/crates/fuchsiabay-gateway/tests/support/caller.rs
+++ b/crates/fuchsiabay-gateway/tests/support/caller.rs
@@ -69,6 +69,16 @@
         read.or(late).await
     }
 
+    /// Returns whether something comes within `ms`. It is kept for the next answer.
+    pub async fn is_answered_within(&mut self, ms: u64) -> bool {
+        let read = async { self.fill().await };
+        let late = async {
+            Timer::after(Duration::from_millis(ms)).await;
+            false
+        };
+        read.or(late).await
+    }
+
     async fn read_answer(&mut self) -> Option<Answer> {
         let end = loop {
             if let Some(i) = find(&self.buf, b"\r\n\r\n") {
