Answer connections that open during the shutdown

Cause: a connection that was accepted after the order to stop was closed at once unless its request had already arrived, because it counted as idle. Callers lost an attempt for each.

--- a/crates/fuchsiabay-gateway/src/caller/connection.rs
+++ b/crates/fuchsiabay-gateway/src/caller/connection.rs
@@ -4,7 +4,7 @@
 
 use fuchsiabay_base::Timestamp;
 use fuchsiabay_runtime::{monotonic_now, sleep_until};
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 use smol::net::TcpStream;
 
 use super::OwnResponse;
@@ -25,13 +25,16 @@
 /// Serves the requests of one connection until it ends.
 pub(crate) async fn run(gateway: &Arc<Gateway>, stream: TcpStream) {
     let mut wire = Wire::new(stream);
+    // A connection that opens during the drain brings a request, which is answered or refused like any other.
+    let mut closes_at_drain = !gateway.is_draining();
     loop {
-        match read_head(gateway, &mut wire).await {
+        match read_head(gateway, &mut wire, closes_at_drain).await {
             Ok(head) => {
                 if !request::serve(gateway, &mut wire, &head).await {
                     break;
                 }
                 wire.release_buffer();
+                closes_at_drain = true;
             }
             Err(NoRequest::Ended) => break,
             Err(NoRequest::Rejected(response)) => {
@@ -51,13 +54,20 @@
     }
 }
 
-async fn read_head(gateway: &Gateway, wire: &mut Wire) -> Result<RequestHead, NoRequest> {
+async fn read_head(
+    gateway: &Gateway,
+    wire: &mut Wire,
+    closes_at_drain: bool,
+) -> Result<RequestHead, NoRequest> {
     let limits = gateway.limits();
     if wire.data().is_empty() {
         let idle_until = monotonic_now().plus_millis(limits.idle_timeout_ms);
         // Closing an idle connection lets its caller go to another instance. One that sent a request meanwhile may send
         // it again, because nothing of it was read.
         let drain = async {
+            if !closes_at_drain {
+                return future::pending().await;
+            }
             gateway.drain().started().await;
             Err(FillError::Ended)
         };
--- a/crates/fuchsiabay-gateway/tests/lifecycle.rs
+++ b/crates/fuchsiabay-gateway/tests/lifecycle.rs
@@ -155,3 +155,20 @@
         assert!(metrics.contains("fuchsiabay_request_ms"), "{metrics}");
     });
 }
+
+/// Guards against a connection that opens during the shutdown and is closed before its request was read.
+#[test]
+fn connection_that_opens_during_shutdown_is_answered() {
+    smol::block_on(async {
+        let world = World::start(1, &[Behaviour::Answer("whole")]).await;
+        let addr = world.gateway.listen_addr();
+        let stop = smol::spawn(world.gateway.stop());
+        Timer::after(Duration::from_millis(100)).await;
+        for _ in 0..5 {
+            let mut caller = support::Caller::connect(addr).await;
+            Timer::after(Duration::from_millis(30)).await;
+            assert_eq!(caller.ask(REQUEST).await.map(|answer| answer.status), Some(200));
+        }
+        stop.await;
+    });
+}
