See that every rank is prepared before the hold, and wait less for answers

Ruled out: the hold itself (held 0.5 s in all). The test lost_and_late_orders fails without the change (15 switches taken back).

--- a/crates/fuchsiabay-gateway/src/agent.rs
+++ b/crates/fuchsiabay-gateway/src/agent.rs
@@ -25,7 +25,7 @@
 };
 
 /// The time that the engine may take for a call, in milliseconds.
-const CALL_TIMEOUT_MS: u64 = 180;
+const CALL_TIMEOUT_MS: u64 = 80;
 
 /// The time for which a connection may be idle, in milliseconds. The coordinator asks several times a second.
 const IDLE_MS: u64 = 20_000;
--- a/crates/fuchsiabay-lockstep/src/switch.rs
+++ b/crates/fuchsiabay-lockstep/src/switch.rs
@@ -41,6 +41,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Phase {
     Preparing,
+    Confirming,
     Holding { step: u64 },
     Verifying { step: u64 },
     Arming { step: u64 },
@@ -60,7 +61,7 @@
     may_be_armed: bool,
 }
 
-/// Drives one switch: prepare on all ranks, hold on one, look at all, arm on all, release. The caller sends the orders and
+/// Drives one switch: prepare on all ranks, see that all are prepared, hold on one, look at all again, arm on all, release. The caller sends the orders and
 /// reports the replies.
 #[derive(Clone, Debug)]
 pub struct MapSwitch {
@@ -95,6 +96,7 @@
     pub fn phase(&self) -> &'static str {
         match self.phase {
             Phase::Preparing => "preparing",
+            Phase::Confirming => "confirming",
             Phase::Holding { .. } => "holding",
             Phase::Verifying { .. } => "verifying",
             Phase::Arming { .. } => "arming",
@@ -108,7 +110,7 @@
     pub fn poll(&mut self, now: Timestamp) -> Vec<(usize, Order)> {
         self.advance(now);
         let order = match self.phase {
-            Phase::Ended(_) | Phase::Verifying { .. } => return Vec::new(),
+            Phase::Ended(_) | Phase::Confirming | Phase::Verifying { .. } => return Vec::new(),
             Phase::Holding { step } => return self.poll_hold_rank(Order::Hold { step }, now),
             Phase::Releasing { step, .. } => return self.poll_hold_rank(Order::Release { step }, now),
             Phase::Preparing => Order::Prepare { version: self.version, layout: self.layout.clone() },
@@ -156,7 +158,9 @@
     pub fn note_state(&mut self, rank: usize, state: &RankState, now: Timestamp) {
         self.last_step = self.last_step.max(state.step);
         match self.phase {
-            Phase::Preparing if state.prepared == Some(self.version) => self.ranks[rank].is_done = true,
+            Phase::Preparing | Phase::Confirming if state.prepared == Some(self.version) => {
+                self.ranks[rank].is_done = true;
+            }
             Phase::Holding { step } if rank == self.hold_rank && state.held == Some(step) => {
                 self.start_phase(Phase::Verifying { step });
             }
@@ -176,7 +180,7 @@
     pub fn needs_states(&self) -> bool {
         let missing = self.ranks.iter().any(|progress| !progress.is_done && progress.conflicts > 0);
         match self.phase {
-            Phase::Verifying { .. } => true,
+            Phase::Confirming | Phase::Verifying { .. } => true,
             Phase::Preparing | Phase::Arming { .. } => missing,
             _ => false,
         }
@@ -251,8 +255,12 @@
     fn advance(&mut self, now: Timestamp) {
         let all_done = self.ranks.iter().all(|progress| progress.is_done);
         match self.phase {
-            Phase::Preparing if all_done && now >= self.timing.copied_at => self.start_holding(),
-            Phase::Preparing if !all_done && now >= self.timing.prepare_by => {
+            Phase::Preparing if all_done && now >= self.timing.copied_at => {
+                self.start_phase(Phase::Confirming)
+            }
+            // A rank whose order was repeated is ready later than the others.
+            Phase::Confirming if all_done => self.start_holding(),
+            Phase::Preparing | Phase::Confirming if !all_done && now >= self.timing.prepare_by => {
                 self.phase = Phase::Ended(SwitchEnd::GivenUp("a rank could not be prepared"));
             }
             Phase::Verifying { step } if all_done => self.start_arming(step),
--- a/crates/fuchsiabay-lockstep/tests/faults.rs
+++ b/crates/fuchsiabay-lockstep/tests/faults.rs
@@ -14,6 +14,8 @@
 const RANKS: usize = 6;
 /// The time of one step of the group, in milliseconds.
 const STEP_MS: u64 = 50;
+/// The time that a rank takes to copy its experts, in milliseconds.
+const COPY_MS: u64 = 90;
 /// The tick of the model, in milliseconds.
 const TICK_MS: u64 = 5;
 /// When faults end, and when the run ends, in milliseconds.
@@ -27,19 +29,34 @@
     map: u64,
     highest: u64,
     prepared: Option<u64>,
+    /// The version whose experts are being copied, and until when.
+    copying: Option<(u64, u64)>,
     armed: Option<ArmedMap>,
     held: Option<u64>,
 }
 
 impl Rank {
-    fn carry_out(&mut self, order: &Order, step: u64) -> OrderReply {
+    /// Ends the copy if it is over.
+    fn advance(&mut self, now_ms: u64) {
+        if let Some((version, until_ms)) = self.copying
+            && until_ms <= now_ms
+        {
+            (self.prepared, self.copying) = (Some(version), None);
+        }
+    }
+
+    fn carry_out(&mut self, order: &Order, step: u64, now_ms: u64) -> OrderReply {
         match *order {
             Order::Prepare { version, .. } if self.prepared == Some(version) => OrderReply::Accepted,
+            Order::Prepare { version, .. } if self.copying.is_some_and(|(v, _)| v == version) => {
+                OrderReply::Accepted
+            }
             Order::Prepare { version, .. } if version <= self.highest || self.armed.is_some() => {
                 OrderReply::Conflict
             }
             Order::Prepare { version, .. } => {
-                (self.highest, self.prepared) = (version, Some(version));
+                (self.highest, self.prepared, self.copying) =
+                    (version, None, Some((version, now_ms + COPY_MS)));
                 OrderReply::Accepted
             }
             Order::Hold { step: held } if self.held == Some(held) => OrderReply::Accepted,
@@ -101,21 +118,22 @@
     fn order(&mut self, rank: usize, order: &Order, now_ms: u64) -> OrderReply {
         if now_ms < FAULTS_END_MS && self.rng.u32(..100) < self.lost_percent {
             if self.rng.bool() {
-                self.ranks[rank].carry_out(order, self.step);
+                self.ranks[rank].carry_out(order, self.step, now_ms);
             } else {
                 self.late.push((now_ms + self.rng.u64(2_000..12_000), rank, order.clone()));
             }
             return OrderReply::Unanswered;
         }
-        self.ranks[rank].carry_out(order, self.step)
+        self.ranks[rank].carry_out(order, self.step, now_ms)
     }
 
     fn advance(&mut self, now_ms: u64) {
         let (due, later) = std::mem::take(&mut self.late).into_iter().partition(|(at, ..)| *at <= now_ms);
         self.late = later;
         for (_, rank, order) in due {
-            self.ranks[rank].carry_out(&order, self.step);
+            self.ranks[rank].carry_out(&order, self.step, now_ms);
         }
+        self.ranks.iter_mut().for_each(|rank| rank.advance(now_ms));
         let is_held = self.ranks.iter().any(|rank| rank.held == Some(self.step + 1));
         if now_ms < self.next_step_ms || is_held {
             return;
@@ -156,14 +174,15 @@
     Switching(Box<MapSwitch>),
 }
 
-/// Plays one run. Returns how many switches took place.
-fn play(seed: u64, lost_percent: u32, kill_permille: u32) -> u32 {
+/// Plays one run. Returns how many switches took place, and how many were taken back after the hold.
+fn play(seed: u64, lost_percent: u32, kill_permille: u32) -> (u32, u32) {
     let mut group = Group::new(seed, lost_percent);
     let mut rng = Rng::with_seed(!seed);
     let layout = Arc::new(ExpertLayout { sets: vec![vec![vec![0]; RANKS]] });
     let mut coordinator = Coordinator::Settling;
     let mut term = 1;
     let mut switches = 0;
+    let mut taken_back = 0;
     let mut step_before_end = 0;
     for now_ms in (0..RUN_MS).step_by(TICK_MS as usize) {
         let now = Timestamp::from_millis(now_ms);
@@ -218,6 +237,7 @@
                     None => Coordinator::Switching(switch),
                     Some(end) => {
                         switches += u32::from(matches!(end, SwitchEnd::Switched { .. }));
+                        taken_back += u32::from(end == SwitchEnd::GivenUp("taken back"));
                         Coordinator::Settling
                     }
                 }
@@ -228,13 +248,16 @@
         }
     }
     assert!(group.step > step_before_end + 50, "the group stands still at step {}", group.step);
-    switches
+    (switches, taken_back)
 }
 
 fn check(runs: u64, lost_percent: u32, kill_permille: u32, least_switches: u32) {
     for seed in 0..runs {
-        let switches = play(seed, lost_percent, kill_permille);
+        let (switches, taken_back) = play(seed, lost_percent, kill_permille);
         assert!(switches >= least_switches, "seed {seed}: {switches} switches");
+        // A rank whose prepare order was repeated copies longer than the others. Holding a step before it is ready costs the
+        // switch, which happened in every second one on a day with late orders.
+        assert!(kill_permille > 0 || taken_back == 0, "seed {seed}: {taken_back} switches taken back");
     }
 }
 
