Predict the time of copies from the engine's profile

The time was a constant that fitted the two deployments; the size of an expert and the bandwidth stand in the configuration.

--- a/crates/fuchsiabay-balancer/src/engine_profile.rs
+++ b/crates/fuchsiabay-balancer/src/engine_profile.rs
@@ -32,6 +32,8 @@
     pub placements: u16,
     /// Experts of a set that one new map may add to a rank.
     pub spare: u16,
+    /// The time that a rank takes to copy one expert, in milliseconds.
+    pub copy_ms: f64,
 }
 
 impl EngineProfile {
--- a/crates/fuchsiabay-balancer/tests/pool.rs
+++ b/crates/fuchsiabay-balancer/tests/pool.rs
@@ -42,6 +42,7 @@
         experts: 64,
         placements: 5,
         spare: 2,
+        copy_ms: 39.0,
     }
 }
 
--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -58,10 +58,10 @@
 /// Steps that are added to the lead, because the last known step may be a little old.
 const EXTRA_LEAD_STEPS: u64 = 1;
 
-/// The time that a rank takes for one copy, in milliseconds.
-const COPY_MS: u64 = 45;
+/// How much longer than on an idle link copies take.
+const COPY_MARGIN: f64 = 1.15;
 
-/// The time within which every rank must be prepared, in milliseconds.
+/// The time after the predicted end of the copies within which every rank must be prepared, in milliseconds.
 const PREPARE_TIMEOUT_MS: u64 = 2_500;
 
 /// The pause between two looks at a running switch.
@@ -278,7 +278,7 @@
     }
     group.version = next_version(group.version, gateway.duty().term());
     let since = monotonic_now();
-    let end = switch(engines, group, &plan).await;
+    let end = switch(engines, group, engine, &plan).await;
     let ms = monotonic_now().millis_since(since);
     let (outcome, step) = match end {
         SwitchEnd::Switched { step } => ("switched", step),
@@ -316,12 +316,18 @@
 }
 
 /// Runs one switch to its end, also when the duty is lost meanwhile: a hold must not be left behind.
-async fn switch<E: EngineControl>(engines: &Arc<E>, group: &mut Group, plan: &LayoutPlan) -> SwitchEnd {
+async fn switch<E: EngineControl>(
+    engines: &Arc<E>,
+    group: &mut Group,
+    engine: &EngineProfile,
+    plan: &LayoutPlan,
+) -> SwitchEnd {
     let now = monotonic_now();
-    let most_copies = group.layout.copies_by_rank(&plan.layout).into_iter().max().unwrap_or(0) as u64;
+    let most_copies = group.layout.copies_by_rank(&plan.layout).into_iter().max().unwrap_or(0);
+    let copied_at = now.plus_millis((most_copies as f64 * engine.copy_ms * COPY_MARGIN) as u64);
     let timing = SwitchTiming {
-        copied_at: now.plus_millis(most_copies * COPY_MS),
-        prepare_by: now.plus_millis(PREPARE_TIMEOUT_MS),
+        copied_at,
+        prepare_by: copied_at.plus_millis(PREPARE_TIMEOUT_MS),
         lead_steps: group.steps_within(SWITCH_LEAD_MS) + EXTRA_LEAD_STEPS,
     };
     let layout = Arc::new(plan.layout.clone());
--- a/crates/fuchsiabay-gateway/src/neighbours/service.rs
+++ b/crates/fuchsiabay-gateway/src/neighbours/service.rs
@@ -63,7 +63,7 @@
     async fn exchange(&self, req: ExchangeRequest) -> RpcResult<ExchangeReply> {
         let gateway = &self.0;
         let (version, wants_directory) = (req.config_version, req.wants_directory);
-        gateway.neighbours().note_caller(req.from, req.config_version, req.loads);
+        gateway.neighbours().note_told(req.from, req.config_version, req.loads);
         Ok(gateway.exchange_reply(version, wants_directory))
     }
 }
--- a/crates/fuchsiabay-gateway/src/neighbours/table.rs
+++ b/crates/fuchsiabay-gateway/src/neighbours/table.rs
@@ -45,11 +45,6 @@
         *neighbour = Neighbour { heard_at: now, told_at: Some(now), config_version, loads };
     }
 
-    /// Takes over what a caller told.
-    pub(crate) fn note_caller(&self, addr: SocketAddr, config_version: u64, loads: HashMap<InstanceId, u32>) {
-        self.note_told(addr, config_version, loads);
-    }
-
     /// Returns the addresses.
     pub(crate) fn addrs(&self) -> Vec<SocketAddr> {
         let mut addrs: Vec<SocketAddr> = self.neighbours.lock().keys().copied().collect();
