Remove state that nothing reads

Three fields of new types were only written: whether an event must follow the one before it (every event must), whether an arm order may still be carried out, and whether a connection was used.

--- a/crates/fuchsiabay-gateway/src/backend/connection.rs
+++ b/crates/fuchsiabay-gateway/src/backend/connection.rs
@@ -30,8 +30,6 @@
     /// Until when it may be used again. Set when it becomes idle.
     idle_until: Timestamp,
     idle_since: Timestamp,
-    /// Whether it carried a request before.
-    pub(crate) was_used: bool,
 }
 
 impl Connection {
@@ -43,14 +41,13 @@
         };
         let stream = connect.or(timeout).await?;
         let now = monotonic_now();
-        Ok(Self { wire: Wire::new(stream), idle_until: now, idle_since: now, was_used: false })
+        Ok(Self { wire: Wire::new(stream), idle_until: now, idle_since: now })
     }
 
     /// Marks the connection as idle after the response `head`.
     pub(crate) fn rest(&mut self, head: &ResponseHead) {
         let now = monotonic_now();
         self.wire.release_buffer();
-        self.was_used = true;
         self.idle_since = now;
         self.idle_until = now.plus_millis(idle_ms(head));
     }
--- a/crates/fuchsiabay-gateway/src/request/events.rs
+++ b/crates/fuchsiabay-gateway/src/request/events.rs
@@ -21,15 +21,13 @@
     /// The bytes of an event that is not whole yet.
     partial: Vec<u8>,
     last_id: Option<u64>,
-    /// Whether the next event must follow `last_id` without a gap, as after a resumption.
-    must_follow: bool,
     passed: u64,
 }
 
 impl Events {
     /// Starts after the event `last_id`, which the caller has.
     pub(super) fn after(last_id: Option<u64>) -> Self {
-        Self { last_id, must_follow: last_id.is_some(), ..Self::default() }
+        Self { last_id, ..Self::default() }
     }
 
     /// Takes bytes of the stream and appends the whole events to `out`.
@@ -47,7 +45,6 @@
     /// Drops the bytes of an event that will not become whole. The next event must follow the last whole one.
     pub(super) fn restart(&mut self) {
         self.partial.clear();
-        self.must_follow = self.last_id.is_some();
     }
 
     /// Returns whether the stream stands between two events.
@@ -74,7 +71,6 @@
         if !follows {
             return Err(EventError::OutOfOrder);
         }
-        self.must_follow = false;
         self.last_id = Some(id);
         Ok(())
     }
--- a/crates/fuchsiabay-lockstep/src/switch.rs
+++ b/crates/fuchsiabay-lockstep/src/switch.rs
@@ -57,8 +57,6 @@
     conflicts: u32,
     /// When the order is sent next.
     send_at: Timestamp,
-    /// Whether an arm order was sent that may still be carried out.
-    may_be_armed: bool,
 }
 
 /// Drives one switch: prepare on all ranks, see that all are prepared, hold on one, look at all again, arm on all, release. The caller sends the orders and
@@ -117,12 +115,10 @@
             Phase::Arming { step } => Order::Arm { version: self.version, step },
             Phase::Disarming { .. } => Order::Disarm { version: self.version },
         };
-        let is_arm = matches!(order, Order::Arm { .. });
         let mut orders = Vec::new();
         for (rank, progress) in self.ranks.iter_mut().enumerate() {
             if !progress.is_done && progress.send_at <= now {
                 progress.send_at = now.plus_millis(RESEND_MS);
-                progress.may_be_armed |= is_arm;
                 orders.push((rank, order.clone()));
             }
         }
@@ -288,7 +284,7 @@
     fn start_phase(&mut self, phase: Phase) {
         self.phase = phase;
         for progress in &mut self.ranks {
-            *progress = RankProgress { may_be_armed: progress.may_be_armed, ..RankProgress::default() };
+            *progress = RankProgress::default();
         }
     }
 }
