Let two instances read the store for the others

Cause: every entry instance asked the store for the configuration once a second and for the directory every 0.7 s.

Now two members (one for each 16 instances where there are more) read the store. The others hear what changed through the exchange every 250 ms, with the age of the reader's proof, and read the store themselves when no proof is younger than 1.5 s (configuration) or 1.3 s (directory). The directory counts its changes, so that neighbours are told what matters and not every heartbeat. A departure names the record that it follows, so that a neighbour that lags behind cannot take a server away that is back.

Ruled out: the readers of fuchsiabay-config, which are two for each zone and so six for a site of five instances; longer waits at the store alone, because a silent connection must be noticed within 2 s.

--- a/crates/fuchsiabay-balancer/src/directory.rs
+++ b/crates/fuchsiabay-balancer/src/directory.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, sync::Arc};
 
-use fuchsiabay_base::{InstanceId, Timestamp};
+use fuchsiabay_base::{InstanceId, Timestamp, mechanism};
 use serde::{Deserialize, Serialize};
 
 use crate::{ServerRecord, ServerState};
@@ -23,6 +23,8 @@
     Heartbeat(ServerRecord),
     /// The entry was removed.
     Removed(InstanceId),
+    /// The server had left when a neighbour knew this record of it. A later record outweighs it.
+    Left(ServerRecord),
 }
 
 #[derive(Clone, Debug)]
@@ -30,6 +32,19 @@
     record: Arc<ServerRecord>,
     /// When the server counts as gone. None while its entry is there.
     gone_at: Option<Timestamp>,
+    /// The revision of the directory in which the entry changed last.
+    revision: u64,
+}
+
+impl Entry {
+    /// Returns the change that brings another directory to this entry.
+    fn change(&self, now: Timestamp) -> ServerChange {
+        let record = (*self.record).clone();
+        if self.gone_at.is_some_and(|at| at <= now) {
+            return ServerChange::Left(record);
+        }
+        ServerChange::Heartbeat(record)
+    }
 }
 
 /// The directory. It keeps the newest record of each server.
@@ -40,6 +55,8 @@
     outage_ended_at: Option<Timestamp>,
     /// When `expire` was called last.
     expired_at: Timestamp,
+    /// Counts the changes. A heartbeat that only counts on is none.
+    revision: u64,
 }
 
 impl Directory {
@@ -53,6 +70,7 @@
         match change {
             ServerChange::Heartbeat(record) => self.heartbeat(record, now),
             ServerChange::Removed(id) => self.remove(&id, now),
+            ServerChange::Left(record) => self.leave(record, now),
         }
     }
 
@@ -83,20 +101,27 @@
         self.entries.values().filter(present).map(|entry| &entry.record)
     }
 
-    /// Returns the changes that a neighbour with this directory's state would need.
-    pub fn changes(&self, now: Timestamp) -> Vec<ServerChange> {
-        let change = |(id, entry): (&InstanceId, &Entry)| match entry.gone_at {
-            Some(at) if at <= now => ServerChange::Removed(id.clone()),
-            _ => ServerChange::Heartbeat((*entry.record).clone()),
-        };
-        self.entries.iter().map(change).collect()
+    /// Returns the present revision.
+    pub const fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// Returns what changed after `revision`. What changed after 0 is the whole directory.
+    pub fn changes_since(&self, revision: u64, now: Timestamp) -> Vec<ServerChange> {
+        let changed = self.entries.values().filter(|entry| entry.revision > revision);
+        changed.map(|entry| entry.change(now)).collect()
     }
 
     /// Forgets servers that have been gone for long. Returns whether a server became gone since the last call.
     pub fn expire(&mut self, now: Timestamp) -> bool {
         let since = std::mem::replace(&mut self.expired_at, now);
-        let has_left = |entry: &Entry| entry.gone_at.is_some_and(|at| at > since && at <= now);
-        let changed = self.entries.values().any(has_left);
+        let has_left = |entry: &&mut Entry| entry.gone_at.is_some_and(|at| at > since && at <= now);
+        let mut changed = false;
+        for entry in self.entries.values_mut().filter(has_left) {
+            self.revision += 1;
+            entry.revision = self.revision;
+            changed = true;
+        }
         self.entries.retain(|_, entry| entry.gone_at.is_none_or(|at| at.plus_millis(TOMBSTONE_MS) > now));
         changed
     }
@@ -104,7 +129,9 @@
     fn heartbeat(&mut self, record: ServerRecord, now: Timestamp) -> bool {
         self.supersede(&record, now);
         let Some(entry) = self.entries.get_mut(&record.id) else {
-            self.entries.insert(record.id.clone(), Entry { record: Arc::new(record), gone_at: None });
+            self.revision += 1;
+            let entry = Entry { record: Arc::new(record), gone_at: None, revision: self.revision };
+            self.entries.insert(entry.record.id.clone(), entry);
             return true;
         };
         if record.age_key() <= entry.record.age_key() {
@@ -115,9 +142,14 @@
         if leaving && record.state == ServerState::Ready && record.born_ms != 0 {
             return false;
         }
+        let only_counts = entry.gone_at.is_none() && record.says_the_same(&entry.record);
         entry.record = Arc::new(record);
         entry.gone_at = None;
-        true
+        if !only_counts {
+            self.revision += 1;
+            entry.revision = self.revision;
+        }
+        !only_counts
     }
 
     /// Removes the servers that had the address of `record` before it. The entry of a server that crashed stays for seconds
@@ -127,8 +159,28 @@
             let is_former = entry.record.address == record.address && entry.record.born_ms < record.born_ms;
             if *id != record.id && is_former && entry.gone_at.is_none() {
                 entry.gone_at = Some(now);
+                self.revision += 1;
+                entry.revision = self.revision;
+            }
+        }
+    }
+
+    /// Takes over that a server has left. Its record is kept, so that an older one cannot bring the server back.
+    fn leave(&mut self, record: ServerRecord, now: Timestamp) -> bool {
+        let known = self.entries.get_mut(&record.id);
+        if let Some(entry) = known {
+            if entry.record.age_key() > record.age_key() && mechanism("left-names-record") {
+                return false;
+            }
+            // Two instances that tell each other what both know must come to rest.
+            if entry.gone_at.is_some_and(|at| at <= now) {
+                entry.record = Arc::new(record);
+                return false;
             }
         }
+        self.revision += 1;
+        let entry = Entry { record: Arc::new(record), gone_at: Some(now), revision: self.revision };
+        self.entries.insert(entry.record.id.clone(), entry).is_some()
     }
 
     fn remove(&mut self, id: &InstanceId, now: Timestamp) -> bool {
@@ -140,6 +192,8 @@
         }
         let grace_end = self.outage_ended_at.map(|ended| ended.plus_millis(LAPSE_GRACE_MS));
         entry.gone_at = Some(grace_end.map_or(now, |end| end.max(now)));
+        self.revision += 1;
+        entry.revision = self.revision;
         true
     }
 }
--- a/crates/fuchsiabay-balancer/src/lib.rs
+++ b/crates/fuchsiabay-balancer/src/lib.rs
@@ -5,7 +5,8 @@
 //! and in tests on virtual time.
 //!
 //! Invariants kept here: a configuration is never replaced by an older one; a record of a backend server is never
-//! replaced by an older one; a server that is draining or gone is never chosen; a job is granted at most once.
+//! replaced by an older one; a server that is draining or gone is never chosen; a job is granted at most once; what no
+//! proof shows to be current is read from the store.
 
 mod config;
 mod crash_ledger;
@@ -13,6 +14,7 @@
 mod engine_profile;
 mod health;
 mod limits;
+mod neighbours;
 mod pool;
 mod retry_ledger;
 mod route;
@@ -27,6 +29,7 @@
 pub use engine_profile::EngineProfile;
 pub use health::{Health, Outcome};
 pub use limits::CallerLimits;
+pub use neighbours::{DirectoryMark, Freshness, Neighbours, News, StoreReaders};
 pub use pool::{Admission, Grant, Job, JobId, Pool, PoolSnapshot, Refusal, RefusalReason, ServerSnapshot};
 pub use retry_ledger::{RetryLedger, RetryLimits};
 pub use route::{Route, RouteKind, Target};
--- /dev/null
+++ b/crates/fuchsiabay-balancer/src/neighbours/mod.rs
@@ -0,0 +1,9 @@
+//! What instances tell each other, and which of them read the store for the others.
+
+mod freshness;
+mod readers;
+mod table;
+
+pub use freshness::{Freshness, News};
+pub use readers::StoreReaders;
+pub use table::{DirectoryMark, Neighbours};
--- a/crates/fuchsiabay-balancer/src/server_record.rs
+++ b/crates/fuchsiabay-balancer/src/server_record.rs
@@ -43,4 +43,11 @@
     pub const fn age_key(&self) -> (u64, u64) {
         (self.born_ms, self.seq)
     }
+
+    /// Returns whether the records differ at most in the count of heartbeats.
+    pub fn says_the_same(&self, other: &Self) -> bool {
+        let Self { id, service, address, zone, slots, state, born_ms, seq: _ } = self;
+        (id, service, address, zone) == (&other.id, &other.service, &other.address, &other.zone)
+            && (*slots, *state, *born_ms) == (other.slots, other.state, other.born_ms)
+    }
 }
--- a/crates/fuchsiabay-balancer/tests/directory.rs
+++ b/crates/fuchsiabay-balancer/tests/directory.rs
@@ -74,3 +74,72 @@
     assert_eq!(ready, ["a"]);
     assert!(directory.expire(at(7_100)), "the shards must learn that a server is gone");
 }
+
+fn left(id: &str, born_ms: u64, seq: u64) -> ServerChange {
+    let ServerChange::Heartbeat(record) = heartbeat(id, 1, born_ms, seq, Ready) else {
+        unreachable!("a heartbeat was made");
+    };
+    ServerChange::Left(record)
+}
+
+cases! {
+    server_that_left_at_a_neighbour_is_not(&[heartbeat("a", 1, 1, 5, Ready), left("a", 1, 5)], &[]);
+    /// Guards against a neighbour that lags behind and takes a server away that is back.
+    later_record_outweighs_a_departure(&[heartbeat("a", 1, 1, 7, Ready), left("a", 1, 5)], &["a"]);
+    /// Guards against a neighbour that lags behind and brings a server back that has left.
+    departure_outweighs_an_earlier_record(&[left("a", 1, 5), heartbeat("a", 1, 1, 4, Ready)], &[]);
+    server_comes_back_after_a_departure(&[left("a", 1, 5), heartbeat("a", 1, 1, 6, Ready)], &["a"]);
+}
+
+fn ids_ready(directory: &Directory) -> Vec<String> {
+    let mut ids: Vec<_> = directory.ready(at(1)).map(|record| record.id.to_string()).collect();
+    ids.sort();
+    ids
+}
+
+/// Guards against telling neighbours every heartbeat, and against losing one that matters.
+#[test]
+fn neighbours_are_told_what_changed() {
+    let mut told = Directory::default();
+    let mut heard = Directory::default();
+    let mut mark = 0;
+    let mut tell = |told: &mut Directory, change: ServerChange, news: usize| {
+        told.apply(change, at(0));
+        let changes = told.changes_since(mark, at(0));
+        assert_eq!(changes.len(), news);
+        mark = told.revision();
+        for change in changes {
+            heard.apply(change, at(0));
+        }
+        assert_eq!(ids_ready(&heard), ids_ready(told));
+    };
+    tell(&mut told, heartbeat("a", 1, 1, 1, Ready), 1);
+    tell(&mut told, heartbeat("a", 1, 1, 2, Ready), 0);
+    tell(&mut told, heartbeat("b", 2, 1, 1, Ready), 1);
+    tell(&mut told, heartbeat("a", 1, 1, 3, Draining), 1);
+    tell(&mut told, heartbeat("c", 2, 2, 1, Ready), 2);
+    tell(&mut told, removed("c"), 1);
+    tell(&mut told, removed("c"), 0);
+}
+
+/// Guards against two instances that tell each other the same departures for ever.
+#[test]
+fn instances_that_know_the_same_come_to_rest() {
+    let mut pair = [Directory::default(), Directory::default()];
+    for change in [heartbeat("a", 1, 1, 3, Ready), heartbeat("b", 2, 1, 4, Draining), removed("a")] {
+        pair[0].apply(change, at(0));
+    }
+    let mut marks = [0, 0];
+    let mut told = Vec::new();
+    for turn in 0..6 {
+        let (from, to) = (turn % 2, 1 - turn % 2);
+        let changes = pair[from].changes_since(marks[from], at(0));
+        marks[from] = pair[from].revision();
+        told.push(changes.len());
+        for change in changes {
+            pair[to].apply(change, at(0));
+        }
+    }
+    assert_eq!(told[3..], [0, 0, 0], "{told:?}");
+    assert_eq!(ids_ready(&pair[0]), ids_ready(&pair[1]));
+}
--- a/crates/fuchsiabay-gateway/src/follow.rs
+++ b/crates/fuchsiabay-gateway/src/follow.rs
@@ -2,14 +2,13 @@
 
 use std::{sync::Arc, time::Duration};
 
-use fuchsiabay_balancer::{Directory, Serving};
+use fuchsiabay_balancer::{Directory, News, Serving};
 use fuchsiabay_base::Timestamp;
 use fuchsiabay_runtime::monotonic_now;
 use smol::Timer;
 
 use crate::{
-    ConfigSource, ServerSource, ServerUpdate, SourceError,
-    gateway::{Gateway, StoreRead},
+    ConfigNews, ConfigSource, ServerSource, ServerUpdate, SourceError, duty::boot_now, gateway::Gateway,
 };
 
 /// The interval in which the directory is read. A server that leaves must get no new work within 2 s.
@@ -23,18 +22,24 @@
 
 /// Follows the configuration for ever.
 pub(crate) async fn follow_config<S: ConfigSource>(gateway: Arc<Gateway>, mut source: S) {
-    let mut dependency = Dependency::new("configuration", StoreRead::Config);
+    let mut dependency = Dependency::new("configuration");
     loop {
+        wait_while_spared(&gateway, News::Config, &mut dependency).await;
+        let asked_at = boot_now();
         match source.next().await {
-            Ok(None) => dependency.note_ok(&gateway),
-            Ok(Some(config)) => {
-                dependency.note_ok(&gateway);
+            Ok(ConfigNews { config: None, held_ms }) => {
+                dependency.note_ok();
+                gateway.prove(News::Config, asked_at.plus_millis(held_ms).min(boot_now()), 0);
+            }
+            Ok(ConfigNews { config: Some(config), .. }) => {
+                dependency.note_ok();
                 let (version, routes) = (config.version, config.routes.len());
                 let in_force = gateway.offer_config(Serving::new(config));
+                gateway.prove(News::Config, asked_at, 0);
                 log::info!(version, routes, in_force; "config: received");
             }
             Err(error) => {
-                dependency.note_error(&gateway, &error);
+                dependency.note_error(&error);
                 Timer::after(RETRY_PAUSE).await;
             }
         }
@@ -43,29 +48,40 @@
 
 /// Follows the directory of backend servers for ever.
 pub(crate) async fn follow_servers<S: ServerSource>(gateway: Arc<Gateway>, mut source: S) {
-    let mut dependency = Dependency::new("directory", StoreRead::Directory);
+    let mut dependency = Dependency::new("directory");
     loop {
+        wait_while_spared(&gateway, News::Directory, &mut dependency).await;
+        let asked_at = boot_now();
         match source.poll().await {
             Ok(update) => {
                 let was_lost = dependency.is_lost;
-                dependency.note_ok(&gateway);
+                dependency.note_ok();
                 gateway.change_directory(|directory, now| {
                     if was_lost {
                         directory.note_outage_end(now);
                     }
                     apply(directory, update, now)
                 });
+                gateway.prove(News::Directory, asked_at, 0);
                 gateway.set_directory_known();
                 Timer::after(SERVER_POLL).await;
             }
             Err(error) => {
-                dependency.note_error(&gateway, &error);
+                dependency.note_error(&error);
                 Timer::after(RETRY_PAUSE).await;
             }
         }
     }
 }
 
+/// Waits as long as neighbours tell what is in the store.
+async fn wait_while_spared(gateway: &Gateway, news: News, dependency: &mut Dependency) {
+    while let Some(until) = gateway.spared_until(news) {
+        Timer::after(Duration::from_millis(until.millis_since(boot_now()))).await;
+    }
+    dependency.note_reader(gateway.neighbours().is_reader());
+}
+
 /// Does the housekeeping for ever.
 pub(crate) async fn tick(gateway: Arc<Gateway>) {
     loop {
@@ -96,27 +112,33 @@
     }
 }
 
-/// Logs when a dependency is lost and when it is back.
+/// Logs when a dependency is lost, when it is back, and when this instance becomes its reader.
 struct Dependency {
     name: &'static str,
-    read: StoreRead,
     is_lost: bool,
+    is_reader: bool,
 }
 
 impl Dependency {
-    fn new(name: &'static str, read: StoreRead) -> Self {
-        Self { name, read, is_lost: false }
+    const fn new(name: &'static str) -> Self {
+        Self { name, is_lost: false, is_reader: false }
+    }
+
+    fn note_reader(&mut self, is_reader: bool) {
+        if std::mem::replace(&mut self.is_reader, is_reader) != is_reader {
+            log::info!(dependency = self.name, is_reader; "follow: reading for the neighbours changed");
+        } else if !is_reader {
+            log::info!(dependency = self.name; "follow: no neighbour told in time, reading the store");
+        }
     }
 
-    fn note_ok(&mut self, gateway: &Gateway) {
-        gateway.set_reads(self.read, true);
+    fn note_ok(&mut self) {
         if std::mem::replace(&mut self.is_lost, false) {
             log::info!(dependency = self.name; "follow: dependency is back");
         }
     }
 
-    fn note_error(&mut self, gateway: &Gateway, error: &SourceError) {
-        gateway.set_reads(self.read, false);
+    fn note_error(&mut self, error: &SourceError) {
         metrics::counter!("fuchsiabay_store_errors_total", "dependency" => self.name).increment(1);
         if !std::mem::replace(&mut self.is_lost, true) {
             log::warn!(dependency = self.name, error:% = error; "follow: dependency is lost");
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -8,31 +8,24 @@
     },
 };
 
-use fuchsiabay_balancer::{CallerLimits, Directory, Serving, ServingSlot};
+use fuchsiabay_balancer::{
+    CallerLimits, Directory, DirectoryMark, Freshness, Neighbours, News, Serving, ServingSlot,
+};
 use fuchsiabay_base::{InstanceId, ServiceName, Timestamp};
 use fuchsiabay_runtime::{OpsSource, monotonic_now};
-use parking_lot::{Mutex, RwLock};
+use parking_lot::{Mutex, MutexGuard, RwLock};
 use serde_json::{Value, json};
 
 use crate::{
     GatewaySettings,
     backend::Connections,
     drain::Drain,
-    duty::Duty,
-    neighbours::{ExchangeReply, NeighbourTable},
+    duty::{Duty, boot_now},
+    neighbours::{DirectoryNews, ExchangeReply},
     shard::ServiceShard,
     usual_deadlines::UsualDeadlines,
 };
 
-/// What is read from the store.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(crate) enum StoreRead {
-    /// The configuration.
-    Config,
-    /// The directory of backend servers.
-    Directory,
-}
-
 /// The shared state. Each service has a shard under a lock of its own.
 pub(crate) struct Gateway {
     pub(crate) settings: GatewaySettings,
@@ -44,9 +37,11 @@
     drain: Drain,
     duty: Duty,
     usual_deadlines: UsualDeadlines,
-    neighbours: NeighbourTable,
-    reads_config: AtomicBool,
-    reads_directory: AtomicBool,
+    neighbours: Mutex<Neighbours>,
+    /// On the clock of [`boot_now`], because what an instance knows grows old while it is suspended, too.
+    freshness: Mutex<Freshness>,
+    /// Names this life's directory to neighbours.
+    directory_source: u64,
     open_connections: AtomicUsize,
     running_requests: AtomicUsize,
     instances: AtomicUsize,
@@ -54,6 +49,7 @@
 
 impl Gateway {
     pub(crate) fn new(settings: GatewaySettings) -> Self {
+        let neighbours = Mutex::new(Neighbours::new(settings.peer_listen));
         Self {
             settings,
             connections: Connections::default(),
@@ -64,9 +60,9 @@
             drain: Drain::default(),
             duty: Duty::default(),
             usual_deadlines: UsualDeadlines::default(),
-            neighbours: NeighbourTable::default(),
-            reads_config: AtomicBool::new(false),
-            reads_directory: AtomicBool::new(false),
+            neighbours,
+            freshness: Mutex::default(),
+            directory_source: fastrand::u64(..),
             open_connections: AtomicUsize::new(0),
             running_requests: AtomicUsize::new(0),
             instances: AtomicUsize::new(1),
@@ -161,8 +157,8 @@
         &self.usual_deadlines
     }
 
-    pub(crate) fn neighbours(&self) -> &NeighbourTable {
-        &self.neighbours
+    pub(crate) fn neighbours(&self) -> MutexGuard<'_, Neighbours> {
+        self.neighbours.lock()
     }
 
     /// Returns the version of the configuration in force, or 0 for none.
@@ -170,23 +166,25 @@
         self.serving.read().version()
     }
 
-    /// Notes whether the store answers questions for `dependency`.
-    pub(crate) fn set_reads(&self, dependency: StoreRead, works: bool) {
-        let flag = match dependency {
-            StoreRead::Config => &self.reads_config,
-            StoreRead::Directory => &self.reads_directory,
-        };
-        flag.store(works, Ordering::Relaxed);
+    /// Takes an answer as proof that `news` is current. See [`Freshness::prove`].
+    pub(crate) fn prove(&self, news: News, asked_at: Timestamp, age_ms: u64) {
+        self.freshness.lock().prove(news, asked_at, age_ms);
     }
 
-    /// Returns whether the directory can be read from the store.
-    pub(crate) fn reads_directory(&self) -> bool {
-        self.reads_directory.load(Ordering::Relaxed)
+    /// Returns until when neighbours spare this instance from reading `news` from the store, if they do.
+    pub(crate) fn spared_until(&self, news: News) -> Option<Timestamp> {
+        if self.neighbours().is_reader() {
+            return None;
+        }
+        self.freshness.lock().until(news).filter(|until| *until > boot_now())
     }
 
-    /// Returns whether this instance needs nothing from its neighbours.
-    pub(crate) fn is_informed(&self) -> bool {
-        self.reads_directory() && self.reads_config.load(Ordering::Relaxed) && self.config_version() > 0
+    /// Returns whether neither the store nor a neighbour has told lately how things are.
+    pub(crate) fn lacks_news(&self) -> bool {
+        let now = boot_now();
+        let freshness = self.freshness.lock();
+        self.config_version() == 0
+            || [News::Config, News::Directory].into_iter().any(|news| !freshness.is_current(news, now))
     }
 
     /// Returns this instance's requests at each server.
@@ -196,15 +194,23 @@
         loads
     }
 
-    /// Returns the reply to a neighbour that has the configuration `version`.
-    pub(crate) fn exchange_reply(&self, version: u64, wants_directory: bool) -> ExchangeReply {
+    /// Returns the reply to a neighbour that has the configuration `version` and this directory up to `mark`.
+    pub(crate) fn exchange_reply(&self, version: u64, mark: Option<DirectoryMark>) -> ExchangeReply {
+        // The ages are read first: what is told afterwards is at least as new.
+        let (freshness, now) = (*self.freshness.lock(), boot_now());
         let serving = self.serving();
         let newer = serving.as_ref().filter(|serving| serving.version() > version);
-        let directory = wants_directory && self.reads_directory();
+        let since = mark.filter(|mark| mark.source == self.directory_source).map_or(0, |mark| mark.revision);
+        let directory = self.directory.lock();
         ExchangeReply {
             config_version: serving.as_ref().map_or(0, |serving| serving.version()),
             config: newer.map(|serving| serving.config().clone()),
-            directory: directory.then(|| self.directory.lock().changes(monotonic_now())),
+            config_age_ms: freshness.age_ms(News::Config, now),
+            directory: DirectoryNews {
+                mark: DirectoryMark { source: self.directory_source, revision: directory.revision() },
+                changes: directory.changes_since(since, monotonic_now()),
+                age_ms: freshness.age_ms(News::Directory, now),
+            },
             loads: self.own_loads(),
         }
     }
@@ -255,6 +261,7 @@
             "draining": self.is_draining(),
             "instances": self.instances(),
             "coordinates": self.duty.is_held(),
+            "reads_store": self.neighbours().is_reader(),
             "connections": self.open_connections.load(Ordering::Relaxed),
             "running_requests": self.running_requests(),
             "pools": pools,
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -37,5 +37,6 @@
 pub use membership::LEASE_MS;
 pub use settings::GatewaySettings;
 pub use source::{
-    ConfigSource, MembershipSource, MembershipView, Platform, ServerSource, ServerUpdate, SourceError,
+    ConfigNews, ConfigSource, MembershipSource, MembershipView, Platform, ServerSource, ServerUpdate,
+    SourceError,
 };
--- a/crates/fuchsiabay-gateway/src/membership.rs
+++ b/crates/fuchsiabay-gateway/src/membership.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use fuchsiabay_runtime::monotonic_now;
 use smol::Timer;
 
 use crate::{MembershipSource, duty::boot_now, gateway::Gateway};
@@ -39,8 +40,9 @@
                     log::info!(instances, term = view.term; "membership: changed");
                 }
                 // A member whose lease has lapsed still serves its callers.
-                gateway.set_instances(instances.max(1 + gateway.neighbours().loads().1));
-                gateway.neighbours().note_known(view.members.iter().copied());
+                let now = monotonic_now();
+                gateway.set_instances(instances.max(1 + gateway.neighbours().loads(now).1));
+                gateway.neighbours().set_members(&view.members, gateway.instances(), now);
                 // A duty that changes hands is taken at the next renewal.
                 if std::mem::replace(&mut term, view.term) == view.term { RENEW } else { RENEW_AFTER_CHANGE }
             }
--- a/crates/fuchsiabay-gateway/src/neighbours/exchange.rs
+++ b/crates/fuchsiabay-gateway/src/neighbours/exchange.rs
@@ -2,62 +2,45 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use fuchsiabay_balancer::Serving;
+use fuchsiabay_balancer::{News, Serving};
+use fuchsiabay_base::Timestamp;
 use fuchsiabay_runtime::monotonic_now;
 use smol::Timer;
 
 use super::{
     links::Links,
-    service::{ExchangeReply, ExchangeRequest},
+    service::{DirectoryNews, ExchangeReply, ExchangeRequest},
 };
-use crate::gateway::Gateway;
+use crate::{duty::boot_now, gateway::Gateway};
 
 /// The interval of the rounds. A load that is older says little about requests that last one to two seconds.
 const ROUND: Duration = Duration::from_millis(250);
 
-/// Neighbours that are called in one round. It bounds the cost where there are many.
-const CALLS_PER_ROUND: usize = 8;
-
 /// The time that a call may take, in milliseconds.
 const CALL_MS: u64 = 400;
 
 /// Calls the neighbours for ever. The first ones are found at `seeds`.
 pub(crate) async fn run(gateway: Arc<Gateway>, mut links: Links, seeds: Vec<SocketAddr>) {
     let own = gateway.settings.peer_listen;
-    let mut round = 0_usize;
     loop {
+        let lacks_news = gateway.lacks_news();
         // Seeds may be stale, so they are only asked as long as nothing better is known.
-        if !gateway.is_informed() {
-            gateway.neighbours().note_known(seeds.iter().copied());
+        if lacks_news {
+            gateway.neighbours().note_known(seeds.iter().copied(), monotonic_now());
         }
-        let addrs: Vec<SocketAddr> =
-            gateway.neighbours().addrs().into_iter().filter(|addr| *addr != own).collect();
-        links.retain(&addrs);
-        for addr in chosen(&gateway, own, &addrs, round) {
+        links.retain(&gateway.neighbours().addrs());
+        let callees = gateway.neighbours().next_round(gateway.config_version(), lacks_news);
+        for addr in callees {
             call(&gateway, &mut links, own, addr).await;
         }
-        let (loads, tellers) = gateway.neighbours().loads();
+        let (loads, tellers) = gateway.neighbours().loads(monotonic_now());
         if tellers > 0 {
             gateway.shards().iter().for_each(|shard| shard.note_others(&loads));
         }
-        round = round.wrapping_add(1);
         Timer::after(ROUND).await;
     }
 }
 
-/// Returns the neighbours to call in this round.
-///
-/// One call carries the loads both ways, so of two instances only the one with the lower address calls, unless it is the other
-/// one that lacks something.
-fn chosen(gateway: &Gateway, own: SocketAddr, addrs: &[SocketAddr], round: usize) -> Vec<SocketAddr> {
-    let version = gateway.config_version();
-    let lacks = !gateway.is_informed();
-    let wanted = |addr: &&SocketAddr| lacks || own < **addr || gateway.neighbours().is_ahead(**addr, version);
-    let wanted: Vec<SocketAddr> = addrs.iter().filter(wanted).copied().collect();
-    let n = wanted.len().min(CALLS_PER_ROUND);
-    (0..n).map(|i| wanted[(round * CALLS_PER_ROUND + i) % wanted.len()]).collect()
-}
-
 async fn call(gateway: &Gateway, links: &mut Links, own: SocketAddr, addr: SocketAddr) {
     let Some(peer) = links.peer(addr).await else {
         return;
@@ -65,13 +48,14 @@
     let request = ExchangeRequest {
         from: own,
         config_version: gateway.config_version(),
-        wants_directory: !gateway.reads_directory(),
+        mark: gateway.neighbours().mark(addr),
         loads: gateway.own_loads(),
     };
+    let asked_at = boot_now();
     let deadline = monotonic_now().plus_millis(CALL_MS);
     let reply: Result<ExchangeReply, _> = peer.call("exchange", &request, deadline).await;
     match reply {
-        Ok(reply) => take_over(gateway, addr, reply),
+        Ok(reply) => take_over(gateway, addr, reply, asked_at),
         Err(error) => {
             log::info!(neighbour:% = addr, error:% = error; "neighbours: no reply");
             links.drop_peer(addr);
@@ -79,24 +63,32 @@
     }
 }
 
-fn take_over(gateway: &Gateway, addr: SocketAddr, reply: ExchangeReply) {
-    gateway.neighbours().note_told(addr, reply.config_version, reply.loads);
+fn take_over(gateway: &Gateway, addr: SocketAddr, reply: ExchangeReply, asked_at: Timestamp) {
+    gateway.neighbours().note_told(addr, reply.config_version, reply.loads, monotonic_now());
     if let Some(config) = reply.config {
         let (version, routes) = (config.version, config.routes.len());
         let in_force = gateway.offer_config(Serving::new(config));
         log::info!(version, routes, in_force, from:% = addr; "config: received from a neighbour");
     }
-    let Some(changes) = reply.directory else {
-        return;
-    };
-    let count = changes.len();
+    if let Some(age_ms) = reply.config_age_ms {
+        gateway.prove(News::Config, asked_at, age_ms);
+    }
+    take_over_directory(gateway, addr, reply.directory, asked_at);
+}
+
+fn take_over_directory(gateway: &Gateway, addr: SocketAddr, news: DirectoryNews, asked_at: Timestamp) {
+    let records = news.changes.len();
     let mut changed = 0;
     gateway.change_directory(|directory, now| {
-        changed = changes.into_iter().filter(|change| directory.apply(change.clone(), now)).count();
+        changed = news.changes.into_iter().filter(|change| directory.apply(change.clone(), now)).count();
         changed > 0
     });
-    gateway.set_directory_known();
+    gateway.neighbours().set_mark(addr, news.mark);
+    if let Some(age_ms) = news.age_ms {
+        gateway.prove(News::Directory, asked_at, age_ms);
+        gateway.set_directory_known();
+    }
     if changed > 0 {
-        log::info!(records = count, changed, from:% = addr; "directory: received from a neighbour");
+        log::info!(records, changed, from:% = addr; "directory: received from a neighbour");
     }
 }
--- a/crates/fuchsiabay-gateway/src/neighbours/mod.rs
+++ b/crates/fuchsiabay-gateway/src/neighbours/mod.rs
@@ -1,12 +1,10 @@
-//! What entry instances tell each other: their requests at each server, and, where the store leaves one of them out, the
-//! configuration and the directory.
+//! What entry instances tell each other: their requests at each server, and the configuration and the directory, which only
+//! some of them read from the store.
 
 mod exchange;
 mod links;
 mod service;
-mod table;
 
 pub(crate) use exchange::run;
 pub(crate) use links::Links;
-pub(crate) use service::{ExchangeReply, NeighbourService};
-pub(crate) use table::NeighbourTable;
+pub(crate) use service::{DirectoryNews, ExchangeReply, NeighbourService};
--- a/crates/fuchsiabay-gateway/src/neighbours/service.rs
+++ b/crates/fuchsiabay-gateway/src/neighbours/service.rs
@@ -5,9 +5,9 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
-use fuchsiabay_balancer::{ServerChange, ServingConfig};
+use fuchsiabay_balancer::{DirectoryMark, ServerChange, ServingConfig};
 use fuchsiabay_base::InstanceId;
-use fuchsiabay_runtime::{Peer, PeerService};
+use fuchsiabay_runtime::{Peer, PeerService, monotonic_now};
 use jsonrpsee::{
     Methods,
     core::{RpcResult, async_trait},
@@ -25,8 +25,8 @@
     pub(crate) from: SocketAddr,
     /// The version of the configuration that the caller has, 0 for none.
     pub(crate) config_version: u64,
-    /// Whether the caller cannot read the directory itself.
-    pub(crate) wants_directory: bool,
+    /// Up to where the caller has the called instance's directory.
+    pub(crate) mark: Option<DirectoryMark>,
     /// The caller's requests at each server.
     pub(crate) loads: HashMap<InstanceId, u32>,
 }
@@ -39,12 +39,26 @@
     pub(crate) config_version: u64,
     /// The configuration, if it is newer than the caller's.
     pub(crate) config: Option<ServingConfig>,
-    /// The directory, if the caller asked for it and the called instance can read it.
-    pub(crate) directory: Option<Vec<ServerChange>>,
+    /// How old the proof is that the configuration is current. None without one.
+    pub(crate) config_age_ms: Option<u64>,
+    /// News of the directory.
+    pub(crate) directory: DirectoryNews,
     /// The called instance's requests at each server.
     pub(crate) loads: HashMap<InstanceId, u32>,
 }
 
+/// What changed in the called instance's directory.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct DirectoryNews {
+    /// The state that the changes lead to.
+    pub(crate) mark: DirectoryMark,
+    /// What changed since the caller's mark.
+    pub(crate) changes: Vec<ServerChange>,
+    /// How old the proof is that the directory is current. None without one.
+    pub(crate) age_ms: Option<u64>,
+}
+
 /// Calls served to other entry instances.
 #[rpc(server)]
 pub(crate) trait NeighbourApi {
@@ -62,9 +76,8 @@
 impl NeighbourApiServer for Api {
     async fn exchange(&self, req: ExchangeRequest) -> RpcResult<ExchangeReply> {
         let gateway = &self.0;
-        let (version, wants_directory) = (req.config_version, req.wants_directory);
-        gateway.neighbours().note_told(req.from, req.config_version, req.loads);
-        Ok(gateway.exchange_reply(version, wants_directory))
+        gateway.neighbours().note_told(req.from, req.config_version, req.loads, monotonic_now());
+        Ok(gateway.exchange_reply(req.config_version, req.mark))
     }
 }
 
--- a/crates/fuchsiabay-gateway/src/source.rs
+++ b/crates/fuchsiabay-gateway/src/source.rs
@@ -18,10 +18,19 @@
     Unreadable(String),
 }
 
+/// An answer to the question for a configuration that was not returned before.
+#[derive(Clone, Debug, PartialEq)]
+pub struct ConfigNews {
+    /// The newest one, if there is any.
+    pub config: Option<ServingConfig>,
+    /// How long the store held the question back at least, in milliseconds. There was no news all the while.
+    pub held_ms: u64,
+}
+
 /// Follows the configuration.
 pub trait ConfigSource: Send + 'static {
-    /// Waits a while for a configuration that was not returned before. Returns the newest one, or None.
-    fn next(&mut self) -> impl Future<Output = Result<Option<ServingConfig>, SourceError>> + Send;
+    /// Waits a while for a configuration that was not returned before. Calls may be far apart.
+    fn next(&mut self) -> impl Future<Output = Result<ConfigNews, SourceError>> + Send;
 }
 
 /// News of the directory.
--- a/crates/fuchsiabay-gateway/tests/neighbours.rs
+++ b/crates/fuchsiabay-gateway/tests/neighbours.rs
@@ -2,7 +2,11 @@
 
 mod support;
 
-use std::{net::SocketAddr, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use fuchsiabay_balancer::ServerState;
 use fuchsiabay_gateway::{AgentSettings, HttpClient, RunningAgent};
@@ -69,6 +73,74 @@
     });
 }
 
+/// Starts three instances on one store.
+async fn three() -> Vec<World> {
+    let first = World::start(1, &[Behaviour::Answer("whole")]).await;
+    let mut worlds = vec![first];
+    for _ in 0..2 {
+        let platform = FakePlatform { reads: Arc::default(), ..worlds[0].platform.clone() };
+        worlds.push(World::start_with(platform, Vec::new(), &[]).await);
+    }
+    let members = worlds.iter().map(|world| world.gateway.peer_addr()).collect();
+    *worlds[0].platform.members.lock().unwrap() = members;
+    for world in &worlds {
+        world.wait_until_ready().await;
+    }
+    worlds
+}
+
+/// Guards against every instance reading the store: calls are priced, and their number must not grow with the instances.
+#[test]
+fn two_instances_read_the_store_for_the_third() {
+    smol::block_on(async {
+        let worlds = three().await;
+        let states = two_readers(&worlds).await;
+        let third = &worlds[states.iter().position(|reads| !reads).unwrap()];
+        let reads_of_third = || third.platform.reads.load(Ordering::Relaxed);
+        // What the third instance read before it knew the readers counts for 1.5 s at most.
+        Timer::after(Duration::from_millis(2_000)).await;
+        let before = reads_of_third();
+        let platform = worlds[0].platform.clone();
+        for _ in 0..20 {
+            for world in &worlds {
+                assert_eq!(status(world).await, 200);
+            }
+            Timer::after(Duration::from_millis(100)).await;
+        }
+        assert_eq!(reads_of_third(), before, "the third instance reads the store");
+        let mut revoked = config(2);
+        revoked.workspaces.as_mut().unwrap()[0].api_keys.clear();
+        *platform.config.lock().unwrap() = Some(revoked);
+        for world in &worlds {
+            wait_for(world, 401).await;
+        }
+    });
+}
+
+/// Waits until two of `worlds` read the store for the others. Returns which do.
+async fn two_readers(worlds: &[World]) -> Vec<bool> {
+    let mut states = Vec::new();
+    for _ in 0..100 {
+        states = readers(worlds).await;
+        if states.iter().filter(|reads| **reads).count() == 2 {
+            return states;
+        }
+        Timer::after(Duration::from_millis(50)).await;
+    }
+    panic!("who reads: {states:?}");
+}
+
+/// Returns which of `worlds` read the store for the others, as their states say.
+async fn readers(worlds: &[World]) -> Vec<bool> {
+    let mut states = Vec::new();
+    for world in worlds {
+        let state = get(world.gateway.ops_addr(), "/state").await.1;
+        let state: serde_json::Value = serde_json::from_str(&state).expect("the state is JSON");
+        states.push(state["reads_store"].as_bool().expect("the state says who reads"));
+    }
+    states
+}
+
 async fn get(addr: SocketAddr, target: &str) -> (u16, String) {
     let deadline = monotonic_now().plus_millis(2_000);
     let response = HttpClient::new(addr).get(target, deadline).await.expect("the agent answers");
--- a/crates/fuchsiabay-gateway/tests/support/platform.rs
+++ b/crates/fuchsiabay-gateway/tests/support/platform.rs
@@ -1,14 +1,18 @@
 //! A stand-in for the platform: configuration and directory from memory.
 
 use std::{
-    sync::{Arc, Mutex},
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 
 use fuchsiabay_balancer::{ServerRecord, ServingConfig};
 use fuchsiabay_gateway::{
-    ConfigSource, DemandSample, EngineControl, EngineError, MembershipSource, MembershipView, Platform,
-    RankLists, ServerSource, ServerUpdate, SourceError,
+    ConfigNews, ConfigSource, DemandSample, EngineControl, EngineError, MembershipSource, MembershipView,
+    Platform, RankLists, ServerSource, ServerUpdate, SourceError,
 };
 use fuchsiabay_lockstep::{Order, OrderReply, RankState};
 use smol::Timer;
@@ -22,6 +26,10 @@
     pub servers: Arc<Mutex<Vec<ServerRecord>>>,
     /// Whether the store answers.
     pub is_down: Arc<Mutex<bool>>,
+    /// The members that the store names.
+    pub members: Arc<Mutex<Vec<SocketAddr>>>,
+    /// Counts the reads of the configuration and the directory.
+    pub reads: Arc<AtomicUsize>,
 }
 
 pub struct Source {
@@ -39,18 +47,20 @@
 }
 
 impl ConfigSource for Source {
-    async fn next(&mut self) -> Result<Option<ServingConfig>, SourceError> {
+    async fn next(&mut self) -> Result<ConfigNews, SourceError> {
+        self.platform.reads.fetch_add(1, Ordering::Relaxed);
         Timer::after(POLL).await;
         self.check()?;
         let config = self.platform.config.lock().unwrap().clone();
         let news = config.filter(|config| config.version != self.seen);
         self.seen = news.as_ref().map_or(self.seen, |config| config.version);
-        Ok(news)
+        Ok(ConfigNews { config: news, held_ms: 0 })
     }
 }
 
 impl ServerSource for Source {
     async fn poll(&mut self) -> Result<ServerUpdate, SourceError> {
+        self.platform.reads.fetch_add(1, Ordering::Relaxed);
         self.check()?;
         Ok(ServerUpdate::Listing(self.platform.servers.lock().unwrap().clone()))
     }
@@ -59,7 +69,8 @@
 impl MembershipSource for Source {
     async fn renew(&mut self) -> Result<MembershipView, SourceError> {
         self.check()?;
-        Ok(MembershipView { members: Vec::new(), holds_duty: false, term: 1 })
+        let members = self.platform.members.lock().unwrap().clone();
+        Ok(MembershipView { members, holds_duty: false, term: 1 })
     }
 
     async fn leave(&mut self) {}
