--- a/crates/fuchsiabay-lockstep/src/planner.rs
+++ b/crates/fuchsiabay-lockstep/src/planner.rs
@@ -7,7 +7,7 @@
 
 /// The part of the mean load by which a round must lower the most loaded rank's excess, per copy. Smaller gains do not pay
 /// for the copy.
-const GAIN_PER_COPY: f64 = 0.012;
+const GAIN_PER_COPY: f64 = 0.025;
 
 /// The pace of a rank that says it needs no time.
 const MIN_PACE: f64 = 0.1;
