Put changed limits in force at SIGHUP

Cause: SIGHUP only checked the settings file; an operator who lowered the retry budget or the limit of connections had to restart every instance.

The retry budget, the stop timeout and the limit of connections are now in force at once, also in pools that exist; addresses and names from the next start. Two tests of the gateway guard it; they did not build before.

--- a/crates/fuchsiabay-balancer/src/retry_ledger.rs
+++ b/crates/fuchsiabay-balancer/src/retry_ledger.rs
@@ -41,6 +41,11 @@
         Self { limits, buckets: VecDeque::new() }
     }
 
+    /// Changes the limits. What was counted before still counts.
+    pub const fn set_limits(&mut self, limits: RetryLimits) {
+        self.limits = limits;
+    }
+
     /// Counts a request of a caller.
     pub fn count_request(&mut self, now: Timestamp) {
         self.bucket(now).requests += 1;
--- a/crates/fuchsiabay-gateway/src/daemon.rs
+++ b/crates/fuchsiabay-gateway/src/daemon.rs
@@ -9,7 +9,7 @@
 use smol::{Timer, net::TcpListener};
 
 use crate::{
-    GatewaySettings, Platform, caller, follow,
+    GatewaySettings, LiveSettings, Platform, caller, follow,
     gateway::Gateway,
     groups, membership,
     neighbours::{self, Links, NeighbourService},
@@ -39,8 +39,13 @@
     Signals(#[source] io::Error),
 }
 
-/// Runs a gateway until it is told to stop. `reload` is called at every SIGHUP.
-pub fn run<P: Platform>(settings: GatewaySettings, platform: P, reload: impl Fn()) -> Result<(), StartError> {
+/// Runs a gateway until it is told to stop. `reload` is called at every SIGHUP and returns the settings that are in force from then
+/// on, if they are valid.
+pub fn run<P: Platform>(
+    settings: GatewaySettings,
+    platform: P,
+    reload: impl Fn() -> Option<LiveSettings>,
+) -> Result<(), StartError> {
     async_global_executor::init_with_config(
         GlobalExecutorConfig::default().with_min_threads(settings.threads).with_max_threads(settings.threads),
     );
@@ -51,12 +56,14 @@
 async fn serve<P: Platform>(
     settings: GatewaySettings,
     platform: P,
-    reload: impl Fn(),
+    reload: impl Fn() -> Option<LiveSettings>,
 ) -> Result<(), StartError> {
     let mut orders = Orders::new().map_err(StartError::Signals)?;
     let running = RunningGateway::start(settings, &platform).await?;
     while orders.next().await == Order::Reload {
-        reload();
+        if let Some(live) = reload() {
+            running.apply(live);
+        }
     }
     running.stop().await;
     Ok(())
@@ -116,10 +123,20 @@
         self.ops.local_addr()
     }
 
+    /// Puts changed settings in force.
+    pub fn apply(&self, live: LiveSettings) {
+        self.gateway.set_live(live);
+        log::info!(
+            retry_ratio = live.retries.ratio, retry_slack = live.retries.slack,
+            stop_timeout_ms = live.stop_timeout_ms, max_connections = live.max_connections;
+            "settings: in force"
+        );
+    }
+
     /// Drains: answers what was accepted and refuses the rest, and returns when that is done or the stop timeout has passed.
     pub async fn stop(self) {
         let now = monotonic_now();
-        let stop_at = now.plus_millis(self.gateway.settings.stop_timeout_ms.saturating_sub(STOP_MARGIN_MS));
+        let stop_at = now.plus_millis(self.gateway.live().stop_timeout_ms.saturating_sub(STOP_MARGIN_MS));
         let refuse_at = now.plus_millis(ACCEPT_AFTER_STOP_MS).min(stop_at);
         self.gateway.drain().start(refuse_at);
         log::info!(running = self.gateway.running_requests(); "gateway: stopping");
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -17,7 +17,7 @@
 use serde_json::{Value, json};
 
 use crate::{
-    GatewaySettings,
+    GatewaySettings, LiveSettings,
     backend::Connections,
     drain::Drain,
     duty::{Duty, boot_now},
@@ -30,6 +30,7 @@
 pub(crate) struct Gateway {
     pub(crate) settings: GatewaySettings,
     pub(crate) connections: Connections,
+    live: RwLock<LiveSettings>,
     serving: RwLock<ServingSlot>,
     directory: Mutex<Directory>,
     shards: RwLock<HashMap<ServiceName, Arc<ServiceShard>>>,
@@ -51,6 +52,7 @@
     pub(crate) fn new(settings: GatewaySettings) -> Self {
         let neighbours = Mutex::new(Neighbours::new(settings.peer_listen));
         Self {
+            live: RwLock::new(settings.live),
             settings,
             connections: Connections::default(),
             serving: RwLock::default(),
@@ -69,6 +71,19 @@
         }
     }
 
+    /// Returns the settings that may change, as they are now.
+    pub(crate) fn live(&self) -> LiveSettings {
+        *self.live.read()
+    }
+
+    /// Puts changed settings in force. Open connections stay.
+    pub(crate) fn set_live(&self, live: LiveSettings) {
+        *self.live.write() = live;
+        for shard in self.shards() {
+            shard.set_retry_limits(live.retries);
+        }
+    }
+
     /// Returns the configuration in force.
     pub(crate) fn serving(&self) -> Option<Arc<Serving>> {
         self.serving.read().current().cloned()
@@ -99,7 +114,7 @@
         let mut shards = self.shards.write();
         let create = || {
             let zone = self.settings.zone.clone();
-            let shard = ServiceShard::new(service.clone(), zone, self.settings.retries);
+            let shard = ServiceShard::new(service.clone(), zone, self.live().retries);
             shard.set_instances(self.instances());
             Arc::new(shard)
         };
@@ -226,7 +241,7 @@
     /// Counts a connection. Returns whether it may stay.
     pub(crate) fn open_connection(&self) -> bool {
         let before = self.open_connections.fetch_add(1, Ordering::Relaxed);
-        if before >= self.settings.max_connections {
+        if before >= self.live().max_connections {
             self.close_connection();
             return false;
         }
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -35,7 +35,7 @@
 pub use dialect::Dialect;
 pub use groups::{DemandSample, EngineControl, EngineError, RankLists};
 pub use membership::LEASE_MS;
-pub use settings::GatewaySettings;
+pub use settings::{GatewaySettings, LiveSettings};
 pub use source::{
     ConfigNews, ConfigSource, MembershipSource, MembershipView, Platform, ServerSource, ServerUpdate,
     SourceError,
--- a/crates/fuchsiabay-gateway/src/settings.rs
+++ b/crates/fuchsiabay-gateway/src/settings.rs
@@ -4,7 +4,6 @@
 
 use fuchsiabay_balancer::RetryLimits;
 use fuchsiabay_base::{InstanceId, ZoneName};
-
 use fuchsiabay_wire::SharedKey;
 
 use crate::Dialect;
@@ -30,12 +29,19 @@
     pub shared_key: SharedKey,
     /// Header names of the deployment.
     pub dialect: &'static Dialect,
+    /// What may change while it runs.
+    pub live: LiveSettings,
+    /// Threads that run the work.
+    pub threads: usize,
+}
+
+/// The settings that may change while a gateway runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LiveSettings {
     /// The retry budget that all instances share.
     pub retries: RetryLimits,
     /// The longest time from the order to stop until the process ends, in milliseconds.
     pub stop_timeout_ms: u64,
     /// Open connections of callers.
     pub max_connections: usize,
-    /// Threads that run the work.
-    pub threads: usize,
 }
--- a/crates/fuchsiabay-gateway/src/shard.rs
+++ b/crates/fuchsiabay-gateway/src/shard.rs
@@ -81,6 +81,10 @@
         }
     }
 
+    pub(crate) fn set_retry_limits(&self, limits: RetryLimits) {
+        self.state.lock().retries.set_limits(limits);
+    }
+
     pub(crate) fn count_request(&self, now: Timestamp) {
         self.state.lock().retries.count_request(now);
     }
--- a/crates/fuchsiabay-gateway/tests/lifecycle.rs
+++ b/crates/fuchsiabay-gateway/tests/lifecycle.rs
@@ -4,9 +4,10 @@
 
 use std::time::{Duration, Instant};
 
-use fuchsiabay_balancer::{RouteKind, ServerState};
+use fuchsiabay_balancer::{RetryLimits, RouteKind, ServerState};
+use fuchsiabay_gateway::LiveSettings;
 use smol::Timer;
-use support::{Answer, Behaviour, World, platform::FakePlatform, route};
+use support::{Answer, Behaviour, World, platform::FakePlatform, route, world::LIVE};
 
 const OK: Behaviour = Behaviour::Answer("whole");
 
@@ -172,3 +173,30 @@
         stop.await;
     });
 }
+
+/// Guards against changed settings that wait for the next start: an operator who lowers a limit expects it to hold after SIGHUP.
+#[test]
+fn changed_limits_are_in_force_at_once() {
+    smol::block_on(async {
+        let world = World::start(1, &[OK]).await;
+        assert_eq!(ask(&world).await.status, 200);
+        world.gateway.apply(LiveSettings { max_connections: 0, ..LIVE });
+        assert!(world.caller().await.ask(REQUEST).await.is_none_or(|answer| answer.status != 200));
+        world.gateway.apply(LIVE);
+        assert_eq!(ask(&world).await.status, 200);
+    });
+}
+
+/// Guards against a lower retry budget that only new services get.
+#[test]
+fn changed_retry_budget_is_in_force_at_once() {
+    smol::block_on(async {
+        let world = World::start(2, &[Behaviour::Reset]).await;
+        ask(&world).await;
+        assert_eq!(world.received(), 2);
+        let retries = RetryLimits { ratio: 0.0, slack: 0, window_ms: 10_000 };
+        world.gateway.apply(LiveSettings { retries, ..LIVE });
+        ask(&world).await;
+        assert_eq!(world.received(), 3, "a retry was made without a budget");
+    });
+}
--- a/crates/fuchsiabay-gateway/tests/support/world.rs
+++ b/crates/fuchsiabay-gateway/tests/support/world.rs
@@ -10,7 +10,7 @@
     CallerLimits, RetryLimits, Route, RouteKind, ServerRecord, ServerState, ServingConfig, Target, Workspace,
 };
 use fuchsiabay_base::{InstanceId, ServiceName, WorkspaceId, ZoneName};
-use fuchsiabay_gateway::{Dialect, GatewaySettings, HttpClient, RunningGateway};
+use fuchsiabay_gateway::{Dialect, GatewaySettings, HttpClient, LiveSettings, RunningGateway};
 use fuchsiabay_runtime::monotonic_now;
 use fuchsiabay_wire::SharedKey;
 use smol::Timer;
@@ -32,6 +32,13 @@
     priority: "X-Priority",
 };
 
+/// The settings that a test may change.
+pub const LIVE: LiveSettings = LiveSettings {
+    retries: RetryLimits { ratio: 0.2, slack: 90, window_ms: 10_000 },
+    stop_timeout_ms: 8_000,
+    max_connections: 100,
+};
+
 pub struct World {
     pub gateway: RunningGateway,
     pub platform: FakePlatform,
@@ -122,9 +129,7 @@
             seeds: seeds.to_vec(),
             shared_key: SharedKey::new("a key for tests only"),
             dialect: &DIALECT,
-            retries: RetryLimits { ratio: 0.2, slack: 90, window_ms: 10_000 },
-            stop_timeout_ms: 8_000,
-            max_connections: 100,
+            live: LIVE,
             threads: 1,
         };
         let gateway = RunningGateway::start(settings, &platform).await.expect("any port is free");
