Call one piece of code where the directory and the proofs repeated theirs

The step of the directory's revision stood four times, the test whether a proof still counts three times, and whether a server is gone twice beside its method. News of a neighbour were copied once more than needed. Behaviour is the same; clippy and the tests of both crates pass.

--- a/crates/fuchsiabay-balancer/src/directory.rs
+++ b/crates/fuchsiabay-balancer/src/directory.rs
@@ -53,6 +53,12 @@
         ServerNews { record: (*self.record).clone(), has_left, position: self.position }
     }
 
+    /// Notes a change that neighbours must be told.
+    const fn mark_changed(&mut self, revision: &mut u64) {
+        *revision += 1;
+        self.revision = *revision;
+    }
+
     /// Returns whether the entry is known as of a later position.
     fn is_after(&self, position: u64) -> bool {
         self.position > position && mechanism("store-order")
@@ -125,8 +131,7 @@
 
     /// Returns the servers whose entries are there, or lapsed so lately that they may come back.
     pub fn listed(&self, now: Timestamp) -> impl Iterator<Item = &Arc<ServerRecord>> {
-        let present = move |entry: &&Entry| entry.gone_at.is_none_or(|at| at > now);
-        self.entries.values().filter(present).map(|entry| &entry.record)
+        self.entries.values().filter(move |entry| !entry.is_gone(now)).map(|entry| &entry.record)
     }
 
     /// Returns the present revision.
@@ -137,7 +142,7 @@
     /// Returns what changed after `revision`. What changed after 0 is the whole directory.
     pub fn news_since(&self, revision: u64, now: Timestamp) -> Vec<ServerNews> {
         // Whether a server that lapsed comes back is not known yet.
-        let is_settled = |entry: &Entry| entry.gone_at.is_none_or(|at| at <= now);
+        let is_settled = |entry: &Entry| entry.gone_at.is_none() || entry.is_gone(now);
         let changed = self.entries.values().filter(|entry| entry.revision > revision && is_settled(entry));
         changed.map(|entry| entry.news(now)).collect()
     }
@@ -148,8 +153,7 @@
         let has_left = |entry: &&mut Entry| entry.gone_at.is_some_and(|at| at > since && at <= now);
         let mut changed = false;
         for entry in self.entries.values_mut().filter(has_left) {
-            self.revision += 1;
-            entry.revision = self.revision;
+            entry.mark_changed(&mut self.revision);
             changed = true;
         }
         self.entries.retain(|_, entry| entry.gone_at.is_none_or(|at| at.plus_millis(TOMBSTONE_MS) > now));
@@ -180,8 +184,7 @@
         (entry.record, entry.position) = (Arc::new(record), position);
         entry.gone_at = None;
         if !only_counts {
-            self.revision += 1;
-            entry.revision = self.revision;
+            entry.mark_changed(&mut self.revision);
         }
         !only_counts
     }
@@ -193,8 +196,7 @@
             let is_former = entry.record.address == record.address && entry.record.born_ms < record.born_ms;
             if *id != record.id && is_former && entry.gone_at.is_none() {
                 entry.gone_at = Some(now);
-                self.revision += 1;
-                entry.revision = self.revision;
+                entry.mark_changed(&mut self.revision);
             }
         }
     }
@@ -222,8 +224,7 @@
         entry.position = position;
         let grace_end = self.outage_ended_at.map(|ended| ended.plus_millis(LAPSE_GRACE_MS));
         entry.gone_at = Some(grace_end.map_or(now, |end| end.max(now)));
-        self.revision += 1;
-        entry.revision = self.revision;
+        entry.mark_changed(&mut self.revision);
         true
     }
 }
--- a/crates/fuchsiabay-balancer/src/neighbours/freshness.rs
+++ b/crates/fuchsiabay-balancer/src/neighbours/freshness.rs
@@ -48,7 +48,11 @@
 
     /// Returns whether `news` counts as current.
     pub fn is_current(&self, news: News, now: Timestamp) -> bool {
-        self.until(news).is_some_and(|until| now < until)
+        self.current_until(news, now).is_some()
+    }
+
+    fn current_until(&self, news: News, now: Timestamp) -> Option<Timestamp> {
+        self.until(news).filter(|until| now < *until)
     }
 
     /// Returns until when neighbours spare an instance from reading `news` from the store, if they do.
@@ -59,12 +63,12 @@
         if !mechanism("own-reading") {
             return Some(now.plus_millis(life_ms(news)));
         }
-        self.until(news).filter(|until| *until > now)
+        self.current_until(news, now)
     }
 
     /// Returns the age of the last proof while it counts, for the answer to a neighbour.
     pub fn age_ms(&self, news: News, now: Timestamp) -> Option<u64> {
-        let until = self.until(news).filter(|until| now < *until)?;
+        let until = self.current_until(news, now)?;
         Some(life_ms(news).saturating_sub(until.millis_since(now)))
     }
 
--- a/crates/fuchsiabay-gateway/src/neighbours/exchange.rs
+++ b/crates/fuchsiabay-gateway/src/neighbours/exchange.rs
@@ -2,7 +2,7 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use fuchsiabay_balancer::{News, ServerNews, Serving};
+use fuchsiabay_balancer::{News, Serving};
 use fuchsiabay_base::Timestamp;
 use fuchsiabay_runtime::monotonic_now;
 use smol::Timer;
@@ -80,8 +80,8 @@
     let records = news.changes.len();
     let mut changed = 0;
     gateway.change_directory(|directory, now| {
-        let mut take_over = |news: &ServerNews| directory.hear(news.clone(), now);
-        changed = news.changes.iter().filter(|news| take_over(news)).count();
+        changed =
+            news.changes.into_iter().map(|news| directory.hear(news, now)).filter(|changed| *changed).count();
         changed > 0
     });
     gateway.neighbours().set_mark(addr, news.mark);
