Do not send requests whose callers have left

Cause: after a pause of an instance, a request and the end of its caller's connection are read at the same time. The wait for an interrupt polls the work first, so the request was written to a server before the disconnect was seen. The new test sends the request and the end of the connection in one segment: 13 of 20 requests reached the server.

Change: right before a request is sent, the caller's socket is read once without waiting. A reader also yields after 16 reads, because a peer that sends without end otherwise keeps timeouts and other tasks from running.

Ruled out: nothing in the queue lets such requests through; a request that waits is cancelled by its caller's disconnect.

After: 0 of 20.

--- a/crates/fuchsiabay-gateway/src/http/buffered_socket.rs
+++ b/crates/fuchsiabay-gateway/src/http/buffered_socket.rs
@@ -23,6 +23,9 @@
 /// The number of unanswered probes after which the kernel closes a connection.
 const KEEPALIVE_PROBES: u32 = 2;
 
+/// The number of reads after which a reader yields.
+const READS_PER_YIELD: usize = 16;
+
 /// A TCP socket with a read buffer.
 #[derive(Debug)]
 pub(crate) struct BufferedSocket {
@@ -30,6 +33,8 @@
     buf: Vec<u8>,
     /// The start of the bytes in `buf` that were not consumed.
     start: usize,
+    /// The number of reads so far.
+    reads: usize,
 }
 
 impl BufferedSocket {
@@ -38,7 +43,7 @@
         if let Err(error) = set_socket_options(&stream) {
             log::debug!("socket: cannot set socket options: {error}");
         }
-        Self { stream, buf: Vec::new(), start: 0 }
+        Self { stream, buf: Vec::new(), start: 0, reads: 0 }
     }
 
     /// Returns the bytes that were read and not consumed.
@@ -65,7 +70,18 @@
     }
 
     /// Reads once into the buffer. Returns the number of bytes read, 0 at the end of the stream.
+    ///
+    /// Yields from time to time, because a read from a peer that sends without end never waits. Timeouts and other tasks
+    /// would otherwise not run.
     pub(crate) async fn fill(&mut self) -> io::Result<usize> {
+        self.reads += 1;
+        if self.reads.is_multiple_of(READS_PER_YIELD) {
+            future::yield_now().await;
+        }
+        self.read().await
+    }
+
+    async fn read(&mut self) -> io::Result<usize> {
         if self.start > 0 {
             self.buf.drain(..self.start);
             self.start = 0;
@@ -81,6 +97,12 @@
         socket.readable().await
     }
 
+    /// Reads what has already arrived. Returns whether the peer has closed the connection.
+    pub(crate) async fn is_closed_by_peer(&mut self) -> bool {
+        let result = future::poll_once(self.read()).await;
+        matches!(result, Some(Ok(0) | Err(_)))
+    }
+
     /// Returns whether the connection is open and has no bytes to read. A byte that is read by the check is lost, so the
     /// connection must be dropped if this is false.
     pub(crate) async fn is_idle(&mut self) -> bool {
--- a/crates/fuchsiabay-gateway/src/request/forwarder.rs
+++ b/crates/fuchsiabay-gateway/src/request/forwarder.rs
@@ -213,6 +213,10 @@
         socket: &mut BufferedSocket,
         slot: &SlotGuard,
     ) -> Result<Result<Attempt, Failure>, RequestOutcome> {
+        // After a pause of this instance, the request and its caller's disconnect are read at the same time.
+        if socket.is_closed_by_peer().await {
+            return Err(RequestOutcome::CallerGone);
+        }
         let request = self.request;
         let server = &slot.grant.server;
         self.tried.push(server.id.clone());
@@ -342,5 +346,5 @@
         log::debug!("attempt: cannot parse load {value:?} of {server}");
         return;
     };
-    request.shard.set_server_load(server, running + waiting);
+    request.shard.set_server_load(server, running.saturating_add(waiting));
 }
--- a/crates/fuchsiabay-gateway/tests/lifecycle.rs
+++ b/crates/fuchsiabay-gateway/tests/lifecycle.rs
@@ -207,3 +207,21 @@
         assert_eq!(harness.received(), 3, "a retry was made without a budget");
     });
 }
+
+/// Guards against sending a request whose caller left while this instance was paused: after the pause, the request and the
+/// end of the connection are read at the same time.
+#[test]
+fn request_of_a_caller_that_left_is_not_sent() {
+    smol::block_on(async {
+        let harness = Harness::start(1, &[OK]).await;
+        for _ in 0..20 {
+            let mut caller = harness.caller().await;
+            // A corked socket delivers the request and the end of the connection together.
+            rustix::net::sockopt::set_tcp_cork(&caller.stream, true).unwrap();
+            caller.send(REQUEST).await;
+            drop(caller);
+        }
+        Timer::after(Duration::from_millis(300)).await;
+        assert_eq!(harness.received(), 0);
+    });
+}
