Bound what a server can send, and trust only responses with the id

Cause: interim responses and trailers were read without a limit and without yielding, so a server that sends them without end held a thread of the gateway for ever, past the deadline of the request: two tests got no response within 10 s at a timeout of 0.9 s. Bodies were limited one by one, so 16 endless ones took 188 MB together. The search for the end of an event was quadratic in the event's size. Sums of stated numbers (tokens, load, keep-alive seconds, event ids) could overflow. A refusal or an error without a request id was taken for the response, although it may be the late copy of another one: a request that may have run got 503, which promises that it did not.

Change: limits on the head including interim responses, on trailers and on all buffered responses together; saturating sums; the id is required on every response. The two loops that read a response head are one. Engine profiles are set while the configuration is locked.

--- a/crates/fuchsiabay-gateway/src/backend/attempt.rs
+++ b/crates/fuchsiabay-gateway/src/backend/attempt.rs
@@ -1,6 +1,6 @@
 //! Sends a request to one server and reads the head of its response.
 
-use std::{future::Future, io, pin::pin, task::Poll};
+use std::{future::Future, pin::pin, task::Poll};
 
 use futures_lite::future;
 use smol::io::AsyncWriteExt;
@@ -8,12 +8,9 @@
 use super::{Connection, Failure, FailureKind, OutgoingRequest};
 use crate::{
     HeaderNames,
-    http::{BodyReader, BufferedSocket, HeadError, ResponseHead},
+    http::{BodyReader, BufferedSocket, ReadHeadError, ResponseHead},
 };
 
-/// The largest response head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
-
 /// An attempt whose response head was received.
 #[derive(Debug)]
 pub(crate) struct Attempt {
@@ -41,7 +38,7 @@
     ) -> Result<Self, Failure> {
         let (head, request_was_sent) = exchange(&mut connection.socket, bytes, req.is_head_request)
             .await
-            .map_err(|error| error.failure())?;
+            .map_err(|error| head_failure(&error))?;
         let response = Response { head, request_was_sent };
         check(&response.head, req, header_names)?;
         let body = BodyReader::new(response.head.framing);
@@ -57,25 +54,12 @@
     }
 }
 
-enum ExchangeError {
-    Io(io::Error),
-    Closed,
-    Head(HeadError),
-}
-
-impl ExchangeError {
-    fn failure(&self) -> Failure {
-        match self {
-            Self::Io(error) => {
-                log::debug!("backend: connection lost: {error}");
-                Failure::may_have_run(FailureKind::ConnectionLost)
-            }
-            Self::Closed => Failure::may_have_run(FailureKind::ConnectionLost),
-            Self::Head(error) => {
-                log::debug!("backend: invalid response head: {error}");
-                Failure::may_have_run(FailureKind::InvalidResponse)
-            }
-        }
+/// Returns the failure of an attempt whose response head was not read.
+fn head_failure(error: &ReadHeadError) -> Failure {
+    log::debug!("backend: no response head: {error}");
+    match error {
+        ReadHeadError::Io(_) | ReadHeadError::Closed => Failure::may_have_run(FailureKind::ConnectionLost),
+        ReadHeadError::Head(_) => Failure::may_have_run(FailureKind::InvalidResponse),
     }
 }
 
@@ -85,10 +69,10 @@
     socket: &mut BufferedSocket,
     bytes: &[u8],
     to_head_request: bool,
-) -> Result<(ResponseHead, bool), ExchangeError> {
+) -> Result<(ResponseHead, bool), ReadHeadError> {
     let mut writer = socket.writer();
     let mut write = pin!(async move { writer.write_all(bytes).await });
-    let mut read = pin!(read_head(socket, to_head_request));
+    let mut read = pin!(ResponseHead::read(socket, to_head_request));
     // None until the write ends, then whether it succeeded.
     let mut written: Option<bool> = None;
     future::poll_fn(|cx| {
@@ -106,36 +90,11 @@
     .await
 }
 
-async fn read_head(
-    socket: &mut BufferedSocket,
-    to_head_request: bool,
-) -> Result<ResponseHead, ExchangeError> {
-    loop {
-        if let Some((head, len)) =
-            ResponseHead::parse(socket.buffered(), to_head_request).map_err(ExchangeError::Head)?
-        {
-            socket.consume(len);
-            // 1xx responses are interim and are skipped.
-            if head.status >= 200 {
-                return Ok(head);
-            }
-            continue;
-        }
-        if socket.buffered().len() > MAX_HEAD_BYTES {
-            return Err(ExchangeError::Head(HeadError::Malformed));
-        }
-        if socket.fill().await.map_err(ExchangeError::Io)? == 0 {
-            return Err(ExchangeError::Closed);
-        }
-    }
-}
-
 /// Checks that the response belongs to the request. Also fails if the server reports that the request did not run.
 fn check(head: &ResponseHead, req: &OutgoingRequest, header_names: &HeaderNames) -> Result<(), Failure> {
     let headers = &head.headers;
-    if let Some(echo) = headers.get(header_names.request_id)
-        && echo != req.request_id
-    {
+    // A response with another id, or without one, may be a late copy of the response to an earlier request.
+    if headers.get(header_names.request_id).unwrap_or_default() != req.request_id {
         return Err(Failure::may_have_run(FailureKind::InvalidResponse));
     }
     if head.status == 421 {
--- a/crates/fuchsiabay-gateway/src/backend/connection.rs
+++ b/crates/fuchsiabay-gateway/src/backend/connection.rs
@@ -64,5 +64,5 @@
         let timeout = value.split(',').find_map(|item| item.trim().strip_prefix("timeout="))?;
         timeout.trim().parse::<u64>().ok()
     });
-    stated.map_or(DEFAULT_IDLE_MS, |s| (s * 1000).saturating_sub(IDLE_MARGIN_MS))
+    stated.map_or(DEFAULT_IDLE_MS, |s| s.saturating_mul(1000).saturating_sub(IDLE_MARGIN_MS))
 }
--- a/crates/fuchsiabay-gateway/src/backend/failure.rs
+++ b/crates/fuchsiabay-gateway/src/backend/failure.rs
@@ -5,6 +5,8 @@
 use fuchsiabay_balancer::Outcome;
 use fuchsiabay_base::Verdict;
 
+use crate::http::BodyError;
+
 /// Why an attempt failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
 pub(crate) enum FailureKind {
@@ -26,6 +28,16 @@
     ServerError,
 }
 
+impl BodyError {
+    /// Returns why an attempt failed whose response body was not read.
+    pub(crate) const fn failure_kind(&self) -> FailureKind {
+        match self {
+            Self::Io(_) | Self::Truncated | Self::TimedOut => FailureKind::ConnectionLost,
+            Self::Malformed(_) | Self::TooLarge => FailureKind::InvalidResponse,
+        }
+    }
+}
+
 /// A failed attempt.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) struct Failure {
--- a/crates/fuchsiabay-gateway/src/caller/connection.rs
+++ b/crates/fuchsiabay-gateway/src/caller/connection.rs
@@ -118,6 +118,7 @@
 fn rejection(error: HeadError) -> ReadHeadError {
     let reason = match error {
         HeadError::Malformed => "malformed_head",
+        HeadError::TooLarge => return head_too_large(),
         HeadError::AmbiguousLength => "ambiguous_length",
         HeadError::UnknownCoding => "unknown_coding",
     };
--- a/crates/fuchsiabay-gateway/src/client.rs
+++ b/crates/fuchsiabay-gateway/src/client.rs
@@ -7,13 +7,10 @@
 use futures_lite::FutureExt;
 use smol::net::TcpStream;
 
-use crate::http::{BodyError, BodyReader, BufferedSocket, HeadError, ResponseHead};
+use crate::http::{BodyError, BodyReader, BufferedSocket, ReadHeadError, ResponseHead};
 
-/// Maximum size of a response body, in bytes.
-const MAX_RESPONSE_BYTES: usize = 64 * 1024 * 1024;
-
-/// Maximum size of a response head, in bytes.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Maximum size of a response body, in bytes. A page of the store's records takes a few megabytes.
+const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
 
 /// Why a call returned no response.
 #[derive(Debug)]
@@ -130,7 +127,11 @@
         None => BufferedSocket::new(TcpStream::connect(addr).await.map_err(CallError::Connect)?),
     };
     socket.write_all(bytes).await.map_err(CallError::Io)?;
-    let head = read_head(&mut socket).await?;
+    let head = ResponseHead::read(&mut socket, false).await.map_err(|error| match error {
+        ReadHeadError::Io(error) => CallError::Io(error),
+        ReadHeadError::Closed => CallError::Io(io::ErrorKind::UnexpectedEof.into()),
+        ReadHeadError::Head(error) => CallError::Malformed(error.to_string()),
+    })?;
     let mut body = BodyReader::new(head.framing);
     let bytes = body.read_to_end(&mut socket, MAX_RESPONSE_BYTES).await.map_err(|error| match error {
         BodyError::Io(error) => CallError::Io(error),
@@ -146,22 +147,3 @@
     let mut socket = idle?;
     socket.is_idle().await.then_some(socket)
 }
-
-async fn read_head(socket: &mut BufferedSocket) -> Result<ResponseHead, CallError> {
-    let malformed = |error: HeadError| CallError::Malformed(error.to_string());
-    loop {
-        if let Some((head, len)) = ResponseHead::parse(socket.buffered(), false).map_err(malformed)? {
-            socket.consume(len);
-            if head.status >= 200 {
-                return Ok(head);
-            }
-            continue;
-        }
-        if socket.buffered().len() > MAX_HEAD_BYTES {
-            return Err(malformed(HeadError::Malformed));
-        }
-        if socket.fill().await.map_err(CallError::Io)? == 0 {
-            return Err(CallError::Io(io::ErrorKind::UnexpectedEof.into()));
-        }
-    }
-}
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -23,6 +23,7 @@
     drain::Drain,
     longest_deadlines::LongestDeadlines,
     neighbours::{DirectoryUpdate, ExchangeReply},
+    response_budget::ResponseBudget,
     shard::ServiceShard,
 };
 
@@ -30,6 +31,7 @@
 pub(crate) struct Gateway {
     pub(crate) settings: GatewaySettings,
     pub(crate) connections: ConnectionPool,
+    pub(crate) response_budget: ResponseBudget,
     live: RwLock<LiveSettings>,
     config: RwLock<ConfigSlot>,
     directory: Mutex<Directory>,
@@ -55,6 +57,7 @@
             live: RwLock::new(settings.live),
             settings,
             connections: ConnectionPool::default(),
+            response_budget: ResponseBudget::default(),
             config: RwLock::default(),
             directory: Mutex::default(),
             shards: RwLock::default(),
@@ -97,7 +100,9 @@
     /// Puts `config` in force if it is newer than the configuration in force. Returns whether it did.
     pub(crate) fn apply_config(&self, config: IndexedConfig) -> bool {
         let config = Arc::new(config);
-        if !self.config.write().replace_if_newer(config.clone()) {
+        // Held until the profiles are set, so that they always belong to the configuration in force.
+        let mut slot = self.config.write();
+        if !slot.replace_if_newer(config.clone()) {
             return false;
         }
         for name in config.config().services.keys() {
--- a/crates/fuchsiabay-gateway/src/http/chunked.rs
+++ b/crates/fuchsiabay-gateway/src/http/chunked.rs
@@ -5,6 +5,9 @@
 /// The longest chunk-size line or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 1024;
 
+/// The maximum size of all trailer lines together, in bytes.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
+
 /// The maximum number of hexadecimal digits of a chunk size. Eight digits allow up to 4 GiB, more than any body limit.
 const MAX_SIZE_DIGITS: usize = 8;
 
@@ -23,11 +26,12 @@
 #[derive(Clone, Debug)]
 pub(crate) struct ChunkDecoder {
     state: State,
+    trailer_bytes: usize,
 }
 
 impl ChunkDecoder {
     pub(crate) const fn new() -> Self {
-        Self { state: State::Size }
+        Self { state: State::Size, trailer_bytes: 0 }
     }
 
     /// Returns whether the body is complete.
@@ -67,6 +71,12 @@
                 let Some(line) = split_line(rest)? else {
                     return Ok(None);
                 };
+                if self.state == State::Trailer {
+                    self.trailer_bytes += line.len();
+                }
+                if self.trailer_bytes > MAX_TRAILER_BYTES {
+                    return Err(HeadError::Malformed);
+                }
                 self.state = next_state(self.state, line)?;
                 Ok(Some(line.len() + 2))
             }
--- a/crates/fuchsiabay-gateway/src/http/head.rs
+++ b/crates/fuchsiabay-gateway/src/http/head.rs
@@ -13,6 +13,9 @@
     /// `Content-Length` is repeated, not a number, or combined with a transfer coding.
     #[error("ambiguous body length")]
     AmbiguousLength,
+    /// The head exceeds the limit.
+    #[error("the head exceeds the limit")]
+    TooLarge,
     /// `Transfer-Encoding` is something other than `chunked`.
     #[error("unsupported transfer coding")]
     UnknownCoding,
--- a/crates/fuchsiabay-gateway/src/http/mod.rs
+++ b/crates/fuchsiabay-gateway/src/http/mod.rs
@@ -14,4 +14,4 @@
 pub(crate) use framing::Framing;
 pub(crate) use head::{HeadError, Headers};
 pub(crate) use request_head::RequestHead;
-pub(crate) use response_head::ResponseHead;
+pub(crate) use response_head::{ReadHeadError, ResponseHead};
--- a/crates/fuchsiabay-gateway/src/http/response_head.rs
+++ b/crates/fuchsiabay-gateway/src/http/response_head.rs
@@ -1,10 +1,30 @@
 //! The head of a backend server's response.
 
+use std::io;
+
 use super::{
-    Framing, HeadError, Headers,
+    BufferedSocket, Framing, HeadError, Headers,
     head::{MAX_HEADERS, has_bare_cr_or_lf},
 };
 
+/// The maximum size of a response head and of the interim responses before it, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+
+/// Why no response head was read.
+#[derive(Debug)]
+#[derive(thiserror::Error)]
+pub(crate) enum ReadHeadError {
+    /// The connection failed.
+    #[error("connection failed: {0}")]
+    Io(#[from] io::Error),
+    /// The connection was closed before the end of the head.
+    #[error("the connection was closed before the end of the head")]
+    Closed,
+    /// The head is malformed or too large.
+    #[error(transparent)]
+    Head(#[from] HeadError),
+}
+
 /// The head of a response.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub(crate) struct ResponseHead {
@@ -43,6 +63,30 @@
         Ok(Some((Self { status, headers, framing, keeps_alive }, len)))
     }
 
+    /// Reads a head from `socket`. Interim responses are skipped.
+    pub(crate) async fn read(
+        socket: &mut BufferedSocket,
+        to_head_request: bool,
+    ) -> Result<Self, ReadHeadError> {
+        let mut skipped = 0;
+        loop {
+            if skipped + socket.buffered().len() > MAX_HEAD_BYTES {
+                return Err(HeadError::TooLarge.into());
+            }
+            match Self::parse(socket.buffered(), to_head_request)? {
+                Some((head, len)) => {
+                    socket.consume(len);
+                    if head.status >= 200 {
+                        return Ok(head);
+                    }
+                    skipped += len;
+                }
+                None if socket.fill().await? == 0 => return Err(ReadHeadError::Closed),
+                None => {}
+            }
+        }
+    }
+
     /// Returns whether the status code is 2xx.
     pub(crate) const fn is_success(&self) -> bool {
         self.status >= 200 && self.status < 300
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -27,6 +27,7 @@
 mod neighbours;
 mod request;
 mod request_metrics;
+mod response_budget;
 mod settings;
 mod shard;
 mod signals;
--- a/crates/fuchsiabay-gateway/src/request/buffered.rs
+++ b/crates/fuchsiabay-gateway/src/request/buffered.rs
@@ -8,9 +8,10 @@
     response_head::{BodyFraming, encode_head},
 };
 use crate::{
-    backend::{Attempt, Failure, FailureKind},
+    backend::{Attempt, Failure},
     caller::until_interrupted,
-    http::BufferedSocket,
+    http::{BodyError, BufferedSocket},
+    response_budget::BufferLease,
     shard::SlotGuard,
 };
 
@@ -46,16 +47,21 @@
 ) -> Result<RequestOutcome, Option<RequestOutcome>> {
     let deadline = forwarder.request.deadline;
     let server = slot.grant.server.clone();
-    let read = attempt.body.read_to_end(&mut attempt.connection.socket, MAX_RESPONSE_BYTES);
+    let mut lease = forwarder.request.gateway.response_budget.lease();
+    let read = read_body(&mut attempt, &mut lease);
     let body = until_interrupted(socket, deadline, read)
         .await
         .map_err(|interrupt| Some(forwarder.interrupted_outcome(interrupt)))?;
-    let Ok(body) = body else {
-        let failure = Failure::may_have_run(FailureKind::ConnectionLost);
-        slot.set_outcome(failure.outcome());
-        drop(slot);
-        forwarder.handle_failure(&server.id, failure).map_err(Some)?;
-        return Err(None);
+    let body = match body {
+        Ok(body) => body,
+        Err(error) => {
+            let failure = Failure::may_have_run(error.failure_kind());
+            slot.set_outcome(failure.outcome());
+            // The connection is closed first, so that the server stops sending.
+            drop((slot, attempt));
+            forwarder.handle_failure(&server.id, failure).map_err(Some)?;
+            return Err(None);
+        }
     };
     let status = attempt.response.head.status;
     forwarder.record_response(&mut slot, status);
@@ -72,6 +78,18 @@
     Ok(relay(forwarder, socket, &head, &body).await)
 }
 
+/// Reads the rest of a response's body.
+async fn read_body(attempt: &mut Attempt, lease: &mut BufferLease<'_>) -> Result<Vec<u8>, BodyError> {
+    let mut body = Vec::new();
+    while !attempt.body.is_done() {
+        attempt.body.read_some(&mut attempt.connection.socket, &mut body).await?;
+        if body.len() > MAX_RESPONSE_BYTES || !lease.extend_to(body.len()) {
+            return Err(BodyError::TooLarge);
+        }
+    }
+    Ok(body)
+}
+
 async fn relay(
     forwarder: &Forwarder<'_>,
     socket: &mut BufferedSocket,
--- a/crates/fuchsiabay-gateway/src/request/event_splitter.rs
+++ b/crates/fuchsiabay-gateway/src/request/event_splitter.rs
@@ -20,6 +20,8 @@
 pub(super) struct EventSplitter {
     /// The bytes of an event that is not complete yet.
     partial: Vec<u8>,
+    /// The number of bytes of `partial` that contain no end of an event.
+    searched: usize,
     last_id: Option<u64>,
     forwarded: u64,
 }
@@ -34,18 +36,21 @@
     /// Adds bytes of the stream and appends the events that are complete to `out`.
     pub(super) fn push(&mut self, bytes: &[u8], out: &mut Vec<u8>) -> Result<(), EventError> {
         self.partial.extend_from_slice(bytes);
-        while let Some(len) = event_len(&self.partial) {
+        while let Some(len) = event_len(&self.partial, self.searched) {
             self.check(len)?;
             out.extend_from_slice(&self.partial[..len]);
             self.partial.drain(..len);
+            self.searched = 0;
             self.forwarded += 1;
         }
+        self.searched = self.partial.len();
         if self.partial.len() > MAX_EVENT_BYTES { Err(EventError::Malformed) } else { Ok(()) }
     }
 
     /// Discards an incomplete event. The next event must follow the last complete one.
     pub(super) fn discard_partial(&mut self) {
         self.partial.clear();
+        self.searched = 0;
     }
 
     /// Returns whether all bytes so far belong to complete events.
@@ -66,7 +71,7 @@
     fn check(&mut self, len: usize) -> Result<(), EventError> {
         let id = event_id(&self.partial[..len]).ok_or(EventError::Malformed)?;
         let follows = match self.last_id {
-            Some(last) => id == last + 1,
+            Some(last) => last.checked_add(1) == Some(id),
             None => true,
         };
         if !follows {
@@ -77,10 +82,16 @@
     }
 }
 
-/// Returns the length of the first event, including the empty line that ends it, or None if the event is incomplete.
-fn event_len(bytes: &[u8]) -> Option<usize> {
+/// The length of the longest sequence that ends an event, in bytes.
+const LONGEST_END_BYTES: usize = 4;
+
+/// Returns the length of the first event, including the empty line that ends it, or None if the event is incomplete. The
+/// first `searched` bytes contain no end of an event.
+fn event_len(bytes: &[u8], searched: usize) -> Option<usize> {
+    let from = searched.saturating_sub(LONGEST_END_BYTES - 1);
     let end = |pattern: &[u8]| {
-        bytes.windows(pattern.len()).position(|window| window == pattern).map(|i| i + pattern.len())
+        let found = bytes[from..].windows(pattern.len()).position(|window| window == pattern);
+        found.map(|i| from + i + pattern.len())
     };
     match (end(b"\n\n"), end(b"\r\n\r\n")) {
         (Some(a), Some(b)) => Some(a.min(b)),
--- a/crates/fuchsiabay-gateway/src/request/routed_request.rs
+++ b/crates/fuchsiabay-gateway/src/request/routed_request.rs
@@ -155,5 +155,6 @@
     };
     let max_output = parse(max_output).unwrap_or(0);
     let hint = head.headers.get(header_names.length_hint).and_then(parse);
-    parse(prompt).unwrap_or(0) + hint.map_or(max_output, |hint| hint.min(max_output))
+    let output = hint.map_or(max_output, |hint| hint.min(max_output));
+    parse(prompt).unwrap_or(0).saturating_add(output)
 }
--- a/crates/fuchsiabay-gateway/src/request/stream.rs
+++ b/crates/fuchsiabay-gateway/src/request/stream.rs
@@ -154,8 +154,8 @@
         let mut bytes = Vec::new();
         loop {
             bytes.clear();
-            if attempt.body.read_some(&mut attempt.connection.socket, &mut bytes).await.is_err() {
-                return SegmentEnd::Failed(FailureKind::ConnectionLost);
+            if let Err(error) = attempt.body.read_some(&mut attempt.connection.socket, &mut bytes).await {
+                return SegmentEnd::Failed(error.failure_kind());
             }
             let mut events = Vec::new();
             if self.splitter.push(&bytes, &mut events).is_err() {
--- a/crates/fuchsiabay-gateway/tests/support/server.rs
+++ b/crates/fuchsiabay-gateway/tests/support/server.rs
@@ -42,6 +42,18 @@
     NoFraming,
     /// Responds without the stamp.
     NoStamp,
+    /// Responds with the largest numbers that its load and its `Keep-Alive` timeout can state.
+    LargestNumbers,
+    /// Responds, and sends a second copy of the response on the same connection this many milliseconds later.
+    LateCopy(u64),
+    /// Responds with this status, the stamp and no request id.
+    StatusWithoutId(u16),
+    /// Reports that it is full, without a request id.
+    FullWithoutId,
+    /// Sends these bytes again and again until the peer closes the connection.
+    Endless { head: &'static str, repeated: &'static str },
+    /// Sends one event, and then one byte of the next event every `pause_ms` without ever completing it.
+    Trickle { pause_ms: u64 },
     /// Streams `events` events, or those after the request's `Last-Event-Id`. Closes the connection after `close_after` of
     /// them, if given.
     Stream { events: u64, close_after: Option<u64>, pause_ms: u64 },
@@ -73,6 +85,8 @@
     received: Mutex<Vec<Received>>,
     /// The number of requests whose connection was closed while they ran.
     cancelled: Mutex<usize>,
+    /// The number of bytes that were sent by endless responses.
+    endless_bytes: Mutex<usize>,
     connections: Mutex<usize>,
 }
 
@@ -107,6 +121,10 @@
         *self.state.cancelled.lock().unwrap()
     }
 
+    pub fn endless_bytes(&self) -> usize {
+        *self.state.endless_bytes.lock().unwrap()
+    }
+
     pub fn connections(&self) -> usize {
         *self.state.connections.lock().unwrap()
     }
@@ -144,8 +162,13 @@
         Behaviour::Status(status) => {
             format!("HTTP/1.1 {status} S\r\nX-Call: {id}\r\nX-Stamp: s\r\nContent-Length: 4\r\n\r\nfail")
         }
-        Behaviour::Full => "HTTP/1.1 503 S\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".to_owned(),
-        Behaviour::Misdirected => "HTTP/1.1 421 S\r\nContent-Length: 0\r\n\r\n".to_owned(),
+        Behaviour::Full => {
+            format!("HTTP/1.1 503 S\r\nX-Call: {id}\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+        }
+        Behaviour::FullWithoutId => "HTTP/1.1 503 S\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n".to_owned(),
+        Behaviour::Misdirected => {
+            format!("HTTP/1.1 421 S\r\nX-Call: {id}\r\nContent-Length: 0\r\n\r\n")
+        }
         Behaviour::Reset => return false,
         Behaviour::InvalidResponse => "nothing that HTTP knows\r\n\r\n".to_owned(),
         Behaviour::Truncated => format!("{head}Content-Length: 100\r\n\r\nshort"),
@@ -153,6 +176,27 @@
         Behaviour::TwoResponses => format!("{}{}", ok_response("once"), ok_response("twice")),
         Behaviour::NoFraming => format!("{head}\r\nunframed"),
         Behaviour::NoStamp => ok_response("unmarked").replace("X-Stamp: s\r\n", ""),
+        Behaviour::LargestNumbers => {
+            let load = format!("X-Load: {0},{0},4\r\nKeep-Alive: timeout={1}\r\n", u32::MAX, u64::MAX);
+            ok_response("large").replace("X-Stamp: s\r\n", &format!("X-Stamp: s\r\n{load}"))
+        }
+        Behaviour::LateCopy(ms) => {
+            let response = ok_response("copied");
+            if stream.write_all(response.as_bytes()).await.is_err() {
+                return false;
+            }
+            Timer::after(Duration::from_millis(*ms)).await;
+            response
+        }
+        Behaviour::StatusWithoutId(status) => {
+            format!("HTTP/1.1 {status} S\r\nX-Stamp: s\r\nContent-Length: 4\r\n\r\nfail")
+        }
+        Behaviour::Endless { head, repeated } => {
+            return send_without_end(state, stream, &head.replace("{id}", id), repeated).await;
+        }
+        Behaviour::Trickle { pause_ms } => {
+            return trickle(state, stream, &head, *pause_ms).await;
+        }
         Behaviour::Stream { events, close_after, pause_ms } => {
             return stream_events(state, stream, &head, after, *events, *close_after, *pause_ms).await;
         }
@@ -168,6 +212,32 @@
     stream.write_all(bytes.as_bytes()).await.is_ok() && !closes
 }
 
+/// Sends `head`, and then `repeated` until the peer closes the connection.
+async fn send_without_end(state: &State, stream: &mut TcpStream, head: &str, repeated: &str) -> bool {
+    let block = repeated.repeat(16_384 / repeated.len() + 1);
+    let mut part = head.as_bytes();
+    while stream.write_all(part).await.is_ok() {
+        *state.endless_bytes.lock().unwrap() += part.len();
+        part = block.as_bytes();
+    }
+    *state.cancelled.lock().unwrap() += 1;
+    false
+}
+
+async fn trickle(state: &State, stream: &mut TcpStream, head: &str, pause_ms: u64) -> bool {
+    let head = format!("{head}Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n");
+    let first = chunk("id: 1\ndata: e1\n\n");
+    let mut part = format!("{head}{first}{}", chunk("id: 2\ndata: "));
+    while stream.write_all(part.as_bytes()).await.is_ok() {
+        if !sleep_while_open(stream, pause_ms).await {
+            break;
+        }
+        part = chunk("x");
+    }
+    *state.cancelled.lock().unwrap() += 1;
+    false
+}
+
 async fn stream_events(
     state: &State,
     stream: &mut TcpStream,
