Read the demand of a group without stopping it

The responses exceeded its link and processor, so calls timed out after 120 ms, and each was repeated at the engine itself. Each failed read also made the coordinator discover the group again, with two more calls to every rank. Prepare orders were encoded for each rank, sent all at once, and repeated when the response was late; engines refuse the second copy.

Change: the agent reads the counts of its own engine and returns what changed since the previous query, one byte an expert. 64 ranks a round take turns. A failed read is repeated in a later round and never at the engine; direct reads, for ranks whose agents do not respond, are limited to 1% of the time by a budget. Calls to the ranks run 32 at a time. A switch reads only the ranks that it has not confirmed, the lead of a switch includes the time that two calls of all ranks take, and the skew is checked before a layout is planned.

--- a/crates/fuchsiabay-gateway/src/agent.rs
+++ b/crates/fuchsiabay-gateway/src/agent.rs
@@ -12,6 +12,8 @@
 };
 
 use async_global_executor::{GlobalExecutorConfig, Task};
+use fuchsiabay_base::Timestamp;
+use fuchsiabay_lockstep::{DemandCounter, DemandCounts};
 use fuchsiabay_runtime::{metrics_export, monotonic_now, sleep_until, spawn};
 use futures_lite::FutureExt;
 use parking_lot::Mutex;
@@ -39,6 +41,10 @@
 /// Maximum number of idle clients that are kept for the engine.
 const MAX_IDLE_CLIENTS: usize = 2;
 
+/// The path of an agent at which the coordinator reads the demand since its previous query, as a
+/// [`DemandDelta`](fuchsiabay_lockstep::DemandDelta).
+pub const DEMAND_PATH: &str = "/demand";
+
 /// Request header with the address of the engine to call, if that is not the agent's own engine.
 pub const TARGET_ENGINE_HEADER: &str = "Fuchsiabay-Engine";
 
@@ -56,6 +62,10 @@
     pub engine: SocketAddr,
     /// Prefix of the request paths that are forwarded to the engine.
     pub path_prefix: &'static str,
+    /// The engine's path for token counts.
+    pub counts_path: &'static str,
+    /// Decodes the engine's token counts.
+    pub decode_counts: fn(&[u8]) -> Option<DemandCounts>,
 }
 
 struct Agent {
@@ -63,6 +73,7 @@
     idle_clients: Mutex<Vec<HttpClient>>,
     calls: AtomicU64,
     unanswered: AtomicU64,
+    demand: Mutex<DemandCounter>,
 }
 
 /// Runs an agent until SIGTERM or SIGINT. Calls `reload` on every SIGHUP.
@@ -108,6 +119,7 @@
             idle_clients: Mutex::default(),
             calls: AtomicU64::new(0),
             unanswered: AtomicU64::new(0),
+            demand: Mutex::default(),
         });
         Ok(Self { listen, _accept: spawn(accept_connections(agent, listener)) })
     }
@@ -182,6 +194,9 @@
         if head.target == "/metrics" {
             return Some(CallResponse { status: 200, body: metrics_export::render().into_bytes() });
         }
+        if head.target == DEMAND_PATH {
+            return self.demand().await;
+        }
         if !head.target.starts_with(self.settings.path_prefix) {
             return Some(CallResponse { status: 404, body: Vec::new() });
         }
@@ -191,21 +206,39 @@
             Some(Err(_)) => return Some(CallResponse { status: 400, body: Vec::new() }),
         };
         let is_own_engine = engine == self.settings.engine;
+        let content_type = head.headers.get("content-type").unwrap_or("application/json");
+        let post = (head.method == "POST").then_some((content_type, body));
+        self.call(engine, is_own_engine, &head.target, post).await
+    }
+
+    /// Reads the token counts of the own engine and returns what changed since the previous query.
+    async fn demand(&self) -> Option<CallResponse> {
+        let response = self.call(self.settings.engine, true, self.settings.counts_path, None).await?;
+        let Some(counts) = (self.settings.decode_counts)(&response.body) else {
+            log::info!(status = response.status; "agent: cannot decode the engine's token counts");
+            return Some(CallResponse { status: 502, body: Vec::new() });
+        };
+        let delta = self.demand.lock().advance(counts);
+        Some(CallResponse { status: 200, body: delta.encode() })
+    }
+
+    /// Calls an engine. `post` holds the content type and the body of a POST request.
+    async fn call(
+        &self,
+        engine: SocketAddr,
+        is_own_engine: bool,
+        target: &str,
+        post: Option<(&str, &[u8])>,
+    ) -> Option<CallResponse> {
         let idle_client = if is_own_engine { self.idle_clients.lock().pop() } else { None };
         let mut client = idle_client.unwrap_or_else(|| HttpClient::new(engine));
         let started_at = monotonic_now();
         let deadline = started_at.plus_millis(CALL_TIMEOUT_MS);
-        let result = if head.method == "POST" {
-            let content_type = head.headers.get("content-type").unwrap_or("application/json");
-            client.post(&head.target, content_type, body, deadline).await
-        } else {
-            client.get(&head.target, deadline).await
+        let result = match post {
+            Some((content_type, body)) => client.post(target, content_type, body, deadline).await,
+            None => client.get(target, deadline).await,
         };
-        self.calls.fetch_add(1, Ordering::Relaxed);
-        let ms = monotonic_now().millis_since(started_at);
-        let outcome = if result.is_ok() { "answered" } else { "unanswered" };
-        metrics::counter!("fuchsiabay_agent_calls_total", "outcome" => outcome).increment(1);
-        metrics::histogram!("fuchsiabay_agent_call_ms").record(ms as f64);
+        self.record_call(started_at, result.is_ok());
         match result {
             Ok(response) => {
                 let mut idle_clients = self.idle_clients.lock();
@@ -215,12 +248,22 @@
                 Some(response)
             }
             Err(error) => {
-                self.unanswered.fetch_add(1, Ordering::Relaxed);
-                log::info!(path = head.target.as_str(), error:% = error; "agent: no response from the engine");
+                log::info!(path = target, error:% = error; "agent: no response from the engine");
                 None
             }
         }
     }
+
+    fn record_call(&self, started_at: Timestamp, is_answered: bool) {
+        self.calls.fetch_add(1, Ordering::Relaxed);
+        if !is_answered {
+            self.unanswered.fetch_add(1, Ordering::Relaxed);
+        }
+        let outcome = if is_answered { "answered" } else { "unanswered" };
+        metrics::counter!("fuchsiabay_agent_calls_total", "outcome" => outcome).increment(1);
+        let ms = monotonic_now().millis_since(started_at);
+        metrics::histogram!("fuchsiabay_agent_call_ms").record(ms as f64);
+    }
 }
 
 fn encode_response(response: Option<&CallResponse>) -> Vec<u8> {
--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -1,7 +1,7 @@
 //! The coordinator, which switches the groups of all services to better layouts.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap},
+    collections::{BTreeSet, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -9,17 +9,18 @@
 use fuchsiabay_balancer::{EngineProfile, ServerRecord};
 use fuchsiabay_base::ServiceName;
 use fuchsiabay_lockstep::{
-    ExpertLayout, LayoutLimits, LayoutPlan, LayoutPlanner, MapSwitch, RankState, Recovery, SwitchOutcome,
-    SwitchTiming, next_version,
+    ExpertLayout, LayoutLimits, LayoutPlan, LayoutPlanner, MapSwitch, SwitchOutcome, SwitchTiming,
+    next_version,
 };
-use fuchsiabay_runtime::{monotonic_now, spawn};
+use fuchsiabay_runtime::monotonic_now;
 use futures_lite::future;
 use smol::Timer;
 
 use super::{
     EngineControl,
+    discovery::discover,
     group::Group,
-    orders::{read_states, send_all},
+    orders::{call_each, read_states, send_all},
 };
 use crate::gateway::Gateway;
 
@@ -42,10 +43,13 @@
 /// Cooldown after a switch, during which only an urgent skew justifies another one, in milliseconds.
 const COOLDOWN_MS: u64 = 900;
 
-/// Time from the last known step to the step at which a switch takes effect, in milliseconds. If not all ranks are armed by
-/// then, the group waits.
+/// Time from the last known step to the step at which a switch takes effect, in milliseconds, in addition to the time that
+/// the calls to all ranks take. If not all ranks are armed by then, the group waits.
 const SWITCH_LEAD_MS: f64 = 80.0;
 
+/// The number of times that all ranks are called between the hold and the switch: once to verify and once to arm them.
+const READS_IN_LEAD: f64 = 2.0;
+
 /// Number of steps added to the lead, because the last known step may be slightly outdated.
 const EXTRA_LEAD_STEPS: u64 = 1;
 
@@ -122,126 +126,34 @@
     a.id == b.id && a.started_at_ms == b.started_at_ms
 }
 
-/// Finds the open groups among `servers`, completes or rolls back unfinished switches of a previous coordinator, and reads
-/// the layouts.
-async fn discover<E: EngineControl>(
-    gateway: &Gateway,
-    engines: &Arc<E>,
-    servers: &[Arc<ServerRecord>],
-    engine: &EngineProfile,
-) -> Vec<Group> {
-    let mut by_group: BTreeMap<String, Vec<(Arc<ServerRecord>, RankState)>> = BTreeMap::new();
-    for (server, group, state) in read_states(engines, servers).await {
-        by_group.entry(group).or_default().push((server, state));
-    }
-    let mut groups = Vec::new();
-    for (name, mut ranks) in by_group {
-        ranks.sort_by_key(|(_, state)| state.rank);
-        if !is_complete(&ranks) {
-            log::debug!("group: {name} is incomplete or not open");
-            continue;
-        }
-        let is_initial = ranks.iter().all(|(_, state)| state.is_initial());
-        if !gateway.coordinator_lease().is_exclusive() && !is_initial {
-            continue;
-        }
-        if !recover(gateway, engines, &name, &ranks).await {
-            continue;
-        }
-        let Some(layout) = read_layout(engines, &ranks).await else {
-            continue;
-        };
-        log::info!(group = name.as_str(), epoch = ranks[0].1.epoch, map = ranks[0].1.map_version, ranks = ranks.len(); "group: found");
-        groups.push(Group::new(name, ranks, layout, engine, monotonic_now()));
-    }
-    groups
-}
-
-/// Returns whether every rank is present, open and in the same epoch.
-fn is_complete(ranks: &[(Arc<ServerRecord>, RankState)]) -> bool {
-    let Some((_, first)) = ranks.first() else {
-        return false;
-    };
-    ranks.len() == usize::from(first.group_size)
-        && ranks.iter().enumerate().all(|(i, (_, state))| {
-            state.is_open && state.epoch == first.epoch && usize::from(state.rank) == i
-        })
-}
-
-/// Sends the orders that resolve an unfinished switch, which left ranks held or armed. Returns whether none were needed.
-async fn recover<E: EngineControl>(
-    gateway: &Gateway,
-    engines: &Arc<E>,
-    name: &str,
-    ranks: &[(Arc<ServerRecord>, RankState)],
-) -> bool {
-    let states: Vec<RankState> = ranks.iter().map(|(_, state)| state.clone()).collect();
-    let Recovery::Orders(orders) = Recovery::from_states(&states) else {
-        return true;
-    };
-    if !gateway.coordinator_lease().is_held() {
-        return false;
-    }
-    for (rank, order) in &orders {
-        log::warn!(group = name, rank = *rank, order = order.as_str(); "group: resolving an unfinished switch");
-    }
-    let servers: Vec<_> = ranks.iter().map(|(server, _)| server.clone()).collect();
-    send_all(engines, &servers, states[0].epoch, orders).await;
-    false
-}
-
-async fn read_layout<E: EngineControl>(
-    engines: &Arc<E>,
-    ranks: &[(Arc<ServerRecord>, RankState)],
-) -> Option<ExpertLayout> {
-    let mut tasks = Vec::with_capacity(ranks.len());
-    for (server, _) in ranks {
-        let (engines, server) = (engines.clone(), server.clone());
-        tasks.push(spawn(async move { engines.rank_experts(&server).await }));
-    }
-    let mut by_rank = Vec::with_capacity(tasks.len());
-    for task in tasks {
-        match task.await {
-            Ok(experts) => by_rank.push(experts),
-            Err(error) => log::info!(error:% = error; "group: failed to read the experts of a rank"),
-        }
-    }
-    let first = by_rank.first()?;
-    let has_single_map =
-        by_rank.iter().all(|rank| rank.epoch == first.epoch && rank.map_version == first.map_version);
-    if by_rank.len() != ranks.len() || !has_single_map {
-        return None;
-    }
-    let experts: Vec<Vec<Vec<u16>>> = by_rank.into_iter().map(|rank| rank.experts).collect();
-    Some(ExpertLayout::from_ranks(&experts))
-}
-
 /// Reads the demand of some ranks. Returns false if the group has changed and must be discovered again.
 async fn sample_demand<E: EngineControl>(engines: &Arc<E>, group: &mut Group) -> bool {
-    let mut tasks = Vec::new();
-    for rank in group.sampled_ranks(|server| engines.can_query_without_pause(server)) {
+    let ranks = group.next_sample(|server| engines.can_query_without_pause(server), monotonic_now());
+    let asked = ranks.len();
+    let samples = call_each(ranks, |rank| {
         let (engines, server) = (engines.clone(), group.ranks[rank].clone());
-        tasks.push((rank, spawn(async move { engines.demand(&server).await })));
-    }
-    let mut is_unchanged = true;
-    for (rank, task) in tasks {
-        let now = monotonic_now();
-        match task.await {
+        async move { engines.demand(&server).await }
+    })
+    .await;
+    let (mut answered, mut is_unchanged) = (0, true);
+    let now = monotonic_now();
+    for sample in samples {
+        match sample {
             Ok(sample) if sample.epoch != group.epoch => is_unchanged = false,
             Ok(sample) => {
+                answered += 1;
                 group.record_step(sample.step, now);
-                group.demand.record(rank as u16, &sample.counts, now);
-            }
-            Err(error) => {
-                log::info!(error:% = error; "group: failed to read the demand of a rank");
-                is_unchanged = false;
+                group.demand.record(&sample, now);
             }
+            // The rank is read again in a later round. If it has left the group, the epoch changes.
+            Err(error) => log::info!(error:% = error; "group: failed to read the demand of a rank"),
         }
     }
-    if !is_unchanged {
-        log::info!(group = group.name.as_str(), epoch = group.epoch; "group: changed");
+    if !is_unchanged || asked > 0 && answered == 0 {
+        log::info!(group = group.name.as_str(), epoch = group.epoch, asked, answered; "group: changed");
+        return false;
     }
-    is_unchanged
+    true
 }
 
 /// Plans a better layout and switches to it if that is worthwhile. Returns false if the state of the ranks is no longer
@@ -269,9 +181,14 @@
         max_experts: engine.max_experts_per_rank.into(),
         max_added: engine.max_added_per_rank.into(),
     };
-    let plan = plan_layout(&LayoutPlanner::new(limits), group).await;
+    let planner = LayoutPlanner::new(limits);
     let has_cooled_down = now >= group.next_plan_at.plus_millis(COOLDOWN_MS - PLAN_INTERVAL_MS);
     let step_share = gap_goal_ms.map_or(1.0, |goal_ms| group.step_ms() / goal_ms as f64);
+    let skew = planner.skew(&group.layout, group.demand.tokens(), &group.slowdowns);
+    if skew < LayoutPlan::min_skew(step_share, has_cooled_down) {
+        return true;
+    }
+    let plan = plan_layout(&planner, group).await;
     if !plan.is_worthwhile(step_share, has_cooled_down) {
         return true;
     }
@@ -324,7 +241,7 @@
     let timing = SwitchTiming {
         copies_done_at,
         prepare_deadline: copies_done_at.plus_millis(PREPARE_TIMEOUT_MS),
-        lead_steps: group.steps_within(SWITCH_LEAD_MS) + EXTRA_LEAD_STEPS,
+        lead_steps: group.steps_within(SWITCH_LEAD_MS + READS_IN_LEAD * group.read_ms()) + EXTRA_LEAD_STEPS,
     };
     let layout = Arc::new(plan.layout.clone());
     let mut switch = MapSwitch::new(group.map_version, layout, group.step, timing);
@@ -345,16 +262,35 @@
         for (rank, order, reply) in send_all(engines, &group.ranks, group.epoch, orders).await {
             switch.handle_reply(rank, &order, reply, monotonic_now());
         }
-        if switch.needs_states() {
-            let mut missing: BTreeSet<usize> = (0..group.ranks.len()).collect();
-            for (_, name, state) in read_states(engines, &group.ranks).await {
-                if name != group.name || state.epoch != group.epoch {
-                    return SwitchOutcome::Aborted("the group was formed anew");
-                }
-                missing.remove(&usize::from(state.rank));
-                switch.handle_state(usize::from(state.rank), &state, monotonic_now());
-            }
-            missing.into_iter().for_each(|rank| switch.handle_unreachable(rank));
+        let to_read = switch.ranks_to_read();
+        if !to_read.is_empty() && !read_ranks(engines, group, &mut switch, to_read).await {
+            return SwitchOutcome::Aborted("the group was formed anew");
+        }
+    }
+}
+
+/// Reads the states of some ranks for a switch. Returns false if a rank is no longer in the group.
+async fn read_ranks<E: EngineControl>(
+    engines: &Arc<E>,
+    group: &mut Group,
+    switch: &mut MapSwitch,
+    ranks: Vec<usize>,
+) -> bool {
+    let servers: Vec<_> = ranks.iter().map(|rank| group.ranks[*rank].clone()).collect();
+    let read_at = monotonic_now();
+    let states = read_states(engines, &servers).await;
+    let now = monotonic_now();
+    if ranks.len() == group.ranks.len() {
+        group.record_read(now.millis_since(read_at));
+    }
+    let mut missing: BTreeSet<usize> = ranks.into_iter().collect();
+    for (_, name, state) in states {
+        if name != group.name || state.epoch != group.epoch {
+            return false;
         }
+        missing.remove(&usize::from(state.rank));
+        switch.handle_state(usize::from(state.rank), &state, now);
     }
+    missing.into_iter().for_each(|rank| switch.handle_unreachable(rank));
+    true
 }
--- /dev/null
+++ b/crates/fuchsiabay-gateway/src/groups/discovery.rs
@@ -0,0 +1,114 @@
+//! Finds the groups of a service, and resolves the switches that a previous coordinator left unfinished.
+
+use std::{collections::BTreeMap, sync::Arc};
+
+use fuchsiabay_balancer::{EngineProfile, ServerRecord};
+use fuchsiabay_lockstep::{ExpertLayout, RankState, Recovery};
+use fuchsiabay_runtime::monotonic_now;
+
+use super::{
+    EngineControl,
+    group::Group,
+    orders::{call_each, read_states, send_all},
+};
+use crate::gateway::Gateway;
+
+/// Finds the open groups among `servers`, completes or rolls back unfinished switches of a previous coordinator, and reads
+/// the layouts.
+pub(super) async fn discover<E: EngineControl>(
+    gateway: &Gateway,
+    engines: &Arc<E>,
+    servers: &[Arc<ServerRecord>],
+    engine: &EngineProfile,
+) -> Vec<Group> {
+    let mut by_group: BTreeMap<String, Vec<(Arc<ServerRecord>, RankState)>> = BTreeMap::new();
+    let read_at = monotonic_now();
+    let states = read_states(engines, servers).await;
+    let read_ms = monotonic_now().millis_since(read_at);
+    for (server, group, state) in states {
+        by_group.entry(group).or_default().push((server, state));
+    }
+    let mut groups = Vec::new();
+    for (name, mut ranks) in by_group {
+        ranks.sort_by_key(|(_, state)| state.rank);
+        if !is_complete(&ranks) {
+            log::debug!("group: {name} is incomplete or not open");
+            continue;
+        }
+        let is_initial = ranks.iter().all(|(_, state)| state.is_initial());
+        if !gateway.coordinator_lease().is_exclusive() && !is_initial {
+            continue;
+        }
+        if !recover(gateway, engines, &name, &ranks).await {
+            continue;
+        }
+        let Some(layout) = read_layout(engines, &ranks).await else {
+            continue;
+        };
+        log::info!(group = name.as_str(), epoch = ranks[0].1.epoch, map = ranks[0].1.map_version, ranks = ranks.len(); "group: found");
+        let mut group = Group::new(name, ranks, layout, engine, monotonic_now());
+        group.record_read(read_ms);
+        groups.push(group);
+    }
+    groups
+}
+
+/// Returns whether every rank is present, open and in the same epoch.
+fn is_complete(ranks: &[(Arc<ServerRecord>, RankState)]) -> bool {
+    let Some((_, first)) = ranks.first() else {
+        return false;
+    };
+    ranks.len() == usize::from(first.group_size)
+        && ranks.iter().enumerate().all(|(i, (_, state))| {
+            state.is_open && state.epoch == first.epoch && usize::from(state.rank) == i
+        })
+}
+
+/// Sends the orders that resolve an unfinished switch, which left ranks held or armed. Returns whether none were needed.
+async fn recover<E: EngineControl>(
+    gateway: &Gateway,
+    engines: &Arc<E>,
+    name: &str,
+    ranks: &[(Arc<ServerRecord>, RankState)],
+) -> bool {
+    let states: Vec<RankState> = ranks.iter().map(|(_, state)| state.clone()).collect();
+    let Recovery::Orders(orders) = Recovery::from_states(&states) else {
+        return true;
+    };
+    if !gateway.coordinator_lease().is_held() {
+        return false;
+    }
+    for (rank, order) in &orders {
+        log::warn!(group = name, rank = *rank, order = order.as_str(); "group: resolving an unfinished switch");
+    }
+    let servers: Vec<_> = ranks.iter().map(|(server, _)| server.clone()).collect();
+    send_all(engines, &servers, states[0].epoch, orders).await;
+    false
+}
+
+async fn read_layout<E: EngineControl>(
+    engines: &Arc<E>,
+    ranks: &[(Arc<ServerRecord>, RankState)],
+) -> Option<ExpertLayout> {
+    let servers: Vec<_> = ranks.iter().map(|(server, _)| server.clone()).collect();
+    let results = call_each(servers, |server| {
+        let engines = engines.clone();
+        async move { engines.rank_experts(&server).await }
+    })
+    .await;
+    let mut by_rank = Vec::with_capacity(results.len());
+    for result in results {
+        match result {
+            Ok(experts) => by_rank.push(experts),
+            Err(error) => log::info!(error:% = error; "group: failed to read the experts of a rank"),
+        }
+    }
+    let first = by_rank.first()?;
+    let has_single_map =
+        by_rank.iter().all(|rank| rank.epoch == first.epoch && rank.map_version == first.map_version);
+    if by_rank.len() != ranks.len() || !has_single_map {
+        return None;
+    }
+    let experts: Vec<Vec<Vec<u16>>> = by_rank.into_iter().map(|rank| rank.experts).collect();
+    Some(ExpertLayout::from_ranks(&experts))
+}
--- a/crates/fuchsiabay-gateway/src/groups/engine_control.rs
+++ b/crates/fuchsiabay-gateway/src/groups/engine_control.rs
@@ -3,7 +3,7 @@
 use std::future::Future;
 
 use fuchsiabay_balancer::ServerRecord;
-use fuchsiabay_lockstep::{Order, OrderReply, RankState};
+use fuchsiabay_lockstep::{DemandDelta, Order, OrderReply, RankState};
 
 /// Why a query of an engine failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -16,17 +16,6 @@
     pub reason: String,
 }
 
-/// How many tokens of a rank's requests were routed to each expert.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct DemandSample {
-    /// The epoch of the group.
-    pub epoch: u64,
-    /// The last step that has started.
-    pub step: u64,
-    /// Cumulative token counts, ordered by set and expert.
-    pub counts: Vec<u64>,
-}
-
 /// The experts that one rank holds.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct RankExperts {
@@ -40,7 +29,7 @@
 
 /// Queries engines and sends them orders.
 pub trait EngineControl: Send + Sync + 'static {
-    /// Returns whether the server can be queried without pausing its group.
+    /// Returns whether the demand of the server can be queried without pausing its group.
     fn can_query_without_pause(&self, server: &ServerRecord) -> bool;
 
     /// Returns the name of the group that the server belongs to and the state of its rank, or None if it is in no group.
@@ -49,9 +38,8 @@
         server: &ServerRecord,
     ) -> impl Future<Output = Result<Option<(String, RankState)>, EngineError>> + Send;
 
-    /// Returns how many tokens of the rank's requests were routed to each expert.
-    fn demand(&self, server: &ServerRecord)
-    -> impl Future<Output = Result<DemandSample, EngineError>> + Send;
+    /// Returns how many tokens of the rank's requests were routed to each expert since the previous query.
+    fn demand(&self, server: &ServerRecord) -> impl Future<Output = Result<DemandDelta, EngineError>> + Send;
 
     /// Returns the experts that the rank holds.
     fn rank_experts(
--- a/crates/fuchsiabay-gateway/src/groups/group.rs
+++ b/crates/fuchsiabay-gateway/src/groups/group.rs
@@ -4,7 +4,7 @@
 
 use fuchsiabay_balancer::{EngineProfile, ServerRecord};
 use fuchsiabay_base::{InstanceId, Timestamp};
-use fuchsiabay_lockstep::{ExpertDemand, ExpertLayout, RankState};
+use fuchsiabay_lockstep::{ExpertDemand, ExpertLayout, PauseBudget, RankState};
 
 /// Divisor for the minimum number of ranks whose demand is read: one in this many. Querying a rank from another instance
 /// pauses the whole group.
@@ -13,6 +13,10 @@
 /// Minimum number of ranks whose demand is read.
 const MIN_SAMPLED_RANKS: usize = 4;
 
+/// Maximum number of ranks whose demand is read in one round. It bounds the load of the coordinator's link and processor. The
+/// counts of a rank are cumulative, so nothing is lost while the ranks take turns.
+const MAX_SAMPLED_RANKS: usize = 64;
+
 /// Minimum number of tokens of one set, per expert, before the demand is significant.
 const MIN_TOKENS_PER_EXPERT: f64 = 200.0;
 
@@ -40,6 +44,10 @@
     pub(super) step: u64,
     step_seen_at: Timestamp,
     step_ms: f64,
+    read_ms: f64,
+    /// The position at which the next sample starts.
+    next_sampled: usize,
+    pauses: PauseBudget,
     /// Whether no switch has been attempted since the group was discovered.
     pub(super) is_new: bool,
     /// The step at which the last switch takes effect, until that step has started.
@@ -68,6 +76,9 @@
             demand: ExpertDemand::new(engine.sets.into(), engine.experts.into(), now),
             step_seen_at: now,
             step_ms: INITIAL_STEP_MS,
+            read_ms: 0.0,
+            next_sampled: 0,
+            pauses: PauseBudget::default(),
             is_new: true,
             pending_switch_step: None,
             next_plan_at: now,
@@ -79,20 +90,40 @@
         self.demand.total_tokens() >= MIN_TOKENS_PER_EXPERT * f64::from(engine.experts)
     }
 
-    /// Returns the ranks whose demand is read: all that `can_query_without_pause` accepts, or evenly spread ones if those are
-    /// too few.
-    pub(super) fn sampled_ranks(
-        &self,
+    /// Returns the ranks whose demand is read next. The ranks that `can_query_without_pause` accepts take turns. If those are
+    /// too few, evenly spread ones are added as far as the budget for pauses allows.
+    pub(super) fn next_sample(
+        &mut self,
         can_query_without_pause: impl Fn(&ServerRecord) -> bool,
+        now: Timestamp,
     ) -> Vec<usize> {
         let rank_count = self.ranks.len();
-        let preferred: Vec<usize> =
-            (0..rank_count).filter(|rank| can_query_without_pause(&self.ranks[*rank])).collect();
+        let (free, pausing): (Vec<usize>, Vec<usize>) =
+            (0..rank_count).partition(|rank| can_query_without_pause(&self.ranks[*rank]));
+        let sampled = free.len().min(MAX_SAMPLED_RANKS);
+        let mut sample: Vec<usize> =
+            (0..sampled).map(|i| free[(self.next_sampled + i) % free.len()]).collect();
+        self.next_sampled = self.next_sampled.wrapping_add(sampled);
         let min_sampled = (rank_count / SAMPLED_DIVISOR).max(MIN_SAMPLED_RANKS).min(rank_count);
-        if preferred.len() >= min_sampled {
-            return preferred;
+        let wanted = min_sampled.saturating_sub(free.len());
+        let counts = self.demand.tokens().iter().map(Vec::len).sum();
+        for i in 0..wanted {
+            if !self.pauses.try_take(counts, now) {
+                break;
+            }
+            sample.push(pausing[i * pausing.len() / wanted]);
         }
-        (0..min_sampled).map(|i| i * rank_count / min_sampled).collect()
+        sample
+    }
+
+    /// Records how long reading the states of all ranks took.
+    pub(super) fn record_read(&mut self, ms: u64) {
+        self.read_ms = ms as f64;
+    }
+
+    /// Returns how long reading the states of all ranks took the last time, in milliseconds.
+    pub(super) const fn read_ms(&self) -> f64 {
+        self.read_ms
     }
 
     /// Updates the slowdown factors of the ranks.
--- a/crates/fuchsiabay-gateway/src/groups/mod.rs
+++ b/crates/fuchsiabay-gateway/src/groups/mod.rs
@@ -3,12 +3,13 @@
 //! Only the instance that holds the coordinator lease changes layouts; every instance checks the groups.
 
 mod coordinator;
+mod discovery;
 mod engine_control;
 mod group;
 mod group_check;
 mod orders;
 
-pub use engine_control::{DemandSample, EngineControl, EngineError, RankExperts};
+pub use engine_control::{EngineControl, EngineError, RankExperts};
 
 pub(crate) use coordinator::run_coordinator;
 pub(crate) use group_check::run_group_checks;
--- a/crates/fuchsiabay-gateway/src/groups/orders.rs
+++ b/crates/fuchsiabay-gateway/src/groups/orders.rs
@@ -5,9 +5,38 @@
 use fuchsiabay_balancer::ServerRecord;
 use fuchsiabay_lockstep::{Order, OrderReply, RankState};
 use fuchsiabay_runtime::spawn;
+use smol::lock::Semaphore;
 
 use super::EngineControl;
 
+/// The maximum number of concurrent calls to the ranks of a group. With more, the responses wait for the link and the
+/// processor of this instance, and the calls time out although the agents respond at once.
+const MAX_CONCURRENT_CALLS: usize = 32;
+
+/// Makes a call for each item, a limited number at a time. Returns the results in the same sequence.
+pub(super) async fn call_each<T, R, F>(items: Vec<T>, call: impl Fn(T) -> F) -> Vec<R>
+where
+    F: Future<Output = R> + Send + 'static,
+    R: Send + 'static,
+{
+    let permits = Arc::new(Semaphore::new(MAX_CONCURRENT_CALLS));
+    let mut tasks = Vec::with_capacity(items.len());
+    for item in items {
+        let permit = permits.acquire_arc().await;
+        let call = call(item);
+        tasks.push(spawn(async move {
+            let result = call.await;
+            drop(permit);
+            result
+        }));
+    }
+    let mut results = Vec::with_capacity(tasks.len());
+    for task in tasks {
+        results.push(task.await);
+    }
+    results
+}
+
 /// Sends `orders` to the given ranks concurrently. Returns each with its reply, in the same sequence.
 pub(super) async fn send_all<E: EngineControl>(
     engines: &Arc<E>,
@@ -15,16 +44,17 @@
     epoch: u64,
     orders: Vec<(usize, Order)>,
 ) -> Vec<(usize, Order, OrderReply)> {
-    let mut tasks = Vec::with_capacity(orders.len());
-    for (rank, order) in orders {
-        let (engines, server, sent) = (engines.clone(), ranks[rank].clone(), order.clone());
+    let replies = call_each(orders, |(rank, order)| {
+        let (engines, server) = (engines.clone(), ranks[rank].clone());
         let via = ranks[relaying_rank(rank, &order, ranks.len())].clone();
-        let task = spawn(async move { engines.send_order(&server, &via, epoch, &sent).await });
-        tasks.push((rank, order, task));
-    }
-    let mut replies = Vec::with_capacity(tasks.len());
-    for (rank, order, task) in tasks {
-        let reply = task.await;
+        async move {
+            let reply = engines.send_order(&server, &via, epoch, &order).await;
+            (rank, order, reply)
+        }
+    })
+    .await;
+    for (rank, order, reply) in &replies {
+        let (rank, reply) = (*rank, *reply);
         metrics::counter!("fuchsiabay_orders_total", "order" => order.as_str(), "reply" => reply_name(reply))
             .increment(1);
         if reply != OrderReply::Accepted {
@@ -33,7 +63,6 @@
                 "group: order not accepted"
             );
         }
-        replies.push((rank, order, reply));
     }
     replies
 }
@@ -54,20 +83,23 @@
     engines: &Arc<E>,
     servers: &[Arc<ServerRecord>],
 ) -> Vec<(Arc<ServerRecord>, String, RankState)> {
-    let mut tasks = Vec::with_capacity(servers.len());
-    for server in servers {
-        let (engines, queried) = (engines.clone(), server.clone());
-        tasks.push((server.clone(), spawn(async move { engines.state(&queried).await })));
-    }
-    let mut states = Vec::with_capacity(tasks.len());
-    for (server, task) in tasks {
-        match task.await {
-            Ok(Some((group, state))) => states.push((server, group, state)),
+    let states = call_each(servers.to_vec(), |server| {
+        let engines = engines.clone();
+        async move {
+            let state = engines.state(&server).await;
+            (server, state)
+        }
+    })
+    .await;
+    let mut known = Vec::with_capacity(states.len());
+    for (server, state) in states {
+        match state {
+            Ok(Some((group, state))) => known.push((server, group, state)),
             Ok(None) => {}
             Err(error) => log::info!(error:% = error; "group: failed to read the state of a rank"),
         }
     }
-    states
+    known
 }
 
 fn reply_name(reply: OrderReply) -> &'static str {
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -33,10 +33,10 @@
 mod signals;
 mod source;
 
-pub use agent::{AgentSettings, RunningAgent, TARGET_ENGINE_HEADER, run_agent};
+pub use agent::{AgentSettings, DEMAND_PATH, RunningAgent, TARGET_ENGINE_HEADER, run_agent};
 pub use client::{CallError, CallResponse, HttpClient};
 pub use daemon::{RunningGateway, StartError, run};
-pub use groups::{DemandSample, EngineControl, EngineError, RankExperts};
+pub use groups::{EngineControl, EngineError, RankExperts};
 pub use header_names::HeaderNames;
 pub use membership::MEMBERSHIP_LEASE_MS;
 pub use settings::{GatewaySettings, LiveSettings};
--- a/crates/fuchsiabay-gateway/tests/neighbours.rs
+++ b/crates/fuchsiabay-gateway/tests/neighbours.rs
@@ -159,6 +159,8 @@
             listen: "127.0.0.1:0".parse().unwrap(),
             engine: engine.addr,
             path_prefix: "/control/",
+            counts_path: "/control/counts",
+            decode_counts: |_| None,
         };
         let agent = RunningAgent::start(settings).await.unwrap();
         let addr = agent.listen_addr();
--- a/crates/fuchsiabay-gateway/tests/support/platform.rs
+++ b/crates/fuchsiabay-gateway/tests/support/platform.rs
@@ -11,10 +11,10 @@
 
 use fuchsiabay_balancer::{ServerRecord, ServingConfig};
 use fuchsiabay_gateway::{
-    ConfigSource, ConfigUpdate, DemandSample, EngineControl, EngineError, MembershipSource, MembershipView,
-    Platform, RankExperts, ServerSource, ServerUpdate, SourceError,
+    ConfigSource, ConfigUpdate, EngineControl, EngineError, MembershipSource, MembershipView, Platform,
+    RankExperts, ServerSource, ServerUpdate, SourceError,
 };
-use fuchsiabay_lockstep::{Order, OrderReply, RankState};
+use fuchsiabay_lockstep::{DemandDelta, Order, OrderReply, RankState};
 use smol::Timer;
 
 /// The delay of each read of the configuration.
@@ -91,7 +91,7 @@
         Ok(None)
     }
 
-    async fn demand(&self, server: &ServerRecord) -> Result<DemandSample, EngineError> {
+    async fn demand(&self, server: &ServerRecord) -> Result<DemandDelta, EngineError> {
         Err(EngineError { server: server.id.to_string(), reason: "no engine".to_owned() })
     }
 
--- a/crates/fuchsiabay-lockstep/src/demand.rs
+++ b/crates/fuchsiabay-lockstep/src/demand.rs
@@ -1,9 +1,9 @@
 //! Demand for experts, with exponential decay.
 
-use std::collections::HashMap;
-
 use fuchsiabay_base::Timestamp;
 
+use crate::DemandDelta;
+
 /// The half-life of token counts, in milliseconds. Demand shifts within seconds; with a shorter half-life, too few requests
 /// remain to distinguish demand from noise.
 const HALF_LIFE_MS: f64 = 900.0;
@@ -14,33 +14,22 @@
     experts: usize,
     tokens: Vec<Vec<f64>>,
     decayed_to: Timestamp,
-    /// The last cumulative counts of each rank, which are subtracted from the next ones.
-    last_counts: HashMap<u16, Vec<u64>>,
 }
 
 impl ExpertDemand {
     /// Creates the demand for `sets` sets of `experts` experts each, without any tokens.
     pub fn new(sets: usize, experts: usize, now: Timestamp) -> Self {
-        Self { experts, tokens: vec![vec![0.0; experts]; sets], decayed_to: now, last_counts: HashMap::new() }
+        Self { experts, tokens: vec![vec![0.0; experts]; sets], decayed_to: now }
     }
 
-    /// Records the cumulative token counts of one rank, ordered by set and expert.
-    ///
-    /// The first counts of a rank, and the first after its restart, only serve as a baseline.
-    pub fn record(&mut self, rank: u16, counts: &[u64], now: Timestamp) {
-        if counts.len() != self.experts * self.tokens.len() {
+    /// Records the tokens that one rank counted since its previous query.
+    pub fn record(&mut self, delta: &DemandDelta, now: Timestamp) {
+        if delta.tokens().len() != self.experts * self.tokens.len() {
             return;
         }
         self.decay(now);
-        let Some(last) = self.last_counts.insert(rank, counts.to_vec()) else {
-            return;
-        };
-        if last.iter().zip(counts).any(|(old, new)| new < old) {
-            return;
-        }
-        let deltas = counts.iter().zip(&last).map(|(new, old)| (new - old) as f64);
-        for (i, delta) in deltas.enumerate() {
-            self.tokens[i / self.experts][i % self.experts] += delta;
+        for (total, tokens) in self.tokens.iter_mut().flatten().zip(delta.tokens()) {
+            *total += tokens;
         }
     }
 
--- a/crates/fuchsiabay-lockstep/src/lib.rs
+++ b/crates/fuchsiabay-lockstep/src/lib.rs
@@ -10,8 +10,11 @@
 //! is armed with the same version and step, or when no rank is armed; a version identifies exactly one layout.
 
 mod demand;
+mod demand_counter;
+mod demand_delta;
 mod layout;
 mod order;
+mod pause_budget;
 mod plan;
 mod planner;
 mod rank_state;
@@ -21,8 +24,11 @@
 mod takeover;
 
 pub use demand::ExpertDemand;
+pub use demand_counter::{DemandCounter, DemandCounts};
+pub use demand_delta::DemandDelta;
 pub use layout::ExpertLayout;
 pub use order::{Order, OrderReply};
+pub use pause_budget::PauseBudget;
 pub use plan::LayoutPlan;
 pub use planner::{LayoutLimits, LayoutPlanner};
 pub use rank_state::{ArmedMap, RankState};
--- a/crates/fuchsiabay-lockstep/src/plan.rs
+++ b/crates/fuchsiabay-lockstep/src/plan.rs
@@ -32,16 +32,20 @@
 }
 
 impl LayoutPlan {
-    /// Returns whether the benefit of the switch justifies its copies. `step_share` is the share of the time between two
-    /// stream events that a step takes. `has_cooled_down` states whether the cooldown after the last switch has ended;
+    /// Returns the minimum skew of the current layout that justifies a switch. `step_share` is the share of the time between
+    /// two stream events that a step takes. `has_cooled_down` states whether the cooldown after the last switch has ended;
     /// until then, only an urgent skew justifies another switch.
-    pub fn is_worthwhile(&self, step_share: f64, has_cooled_down: bool) -> bool {
-        let min_skew = match (has_cooled_down, step_share < SHORT_STEP_SHARE) {
+    pub fn min_skew(step_share: f64, has_cooled_down: bool) -> f64 {
+        match (has_cooled_down, step_share < SHORT_STEP_SHARE) {
             (false, _) => URGENT_SKEW,
             (true, true) => SHORT_STEP_MIN_SKEW,
             (true, false) => MIN_SKEW,
-        };
+        }
+    }
+
+    /// Returns whether the benefit of the switch justifies its copies. For the arguments, see [`LayoutPlan::min_skew`].
+    pub fn is_worthwhile(&self, step_share: f64, has_cooled_down: bool) -> bool {
         let reduces_skew = self.skew_after - 1.0 <= (self.skew_before - 1.0) * MAX_REMAINING_SKEW_SHARE;
-        self.copies > 0 && self.skew_before >= min_skew && reduces_skew
+        self.copies > 0 && self.skew_before >= Self::min_skew(step_share, has_cooled_down) && reduces_skew
     }
 }
--- a/crates/fuchsiabay-lockstep/src/switch.rs
+++ b/crates/fuchsiabay-lockstep/src/switch.rs
@@ -185,14 +185,14 @@
         self.last_step = self.last_step.max(step);
     }
 
-    /// Returns whether the states of the ranks must be read for the switch to proceed.
-    pub fn needs_states(&self) -> bool {
-        let has_open_conflict = self.ranks.iter().any(|progress| !progress.is_done && progress.conflicts > 0);
-        match self.phase {
-            Phase::Confirming | Phase::Verifying { .. } => true,
-            Phase::Preparing | Phase::Arming { .. } => has_open_conflict,
+    /// Returns the ranks whose states must be read for the switch to proceed.
+    pub fn ranks_to_read(&self) -> Vec<usize> {
+        let is_needed = |progress: &RankProgress| match self.phase {
+            Phase::Confirming | Phase::Verifying { .. } => !progress.is_done,
+            Phase::Preparing | Phase::Arming { .. } => !progress.is_done && progress.conflicts > 0,
             _ => false,
-        }
+        };
+        (0..self.ranks.len()).filter(|rank| is_needed(&self.ranks[*rank])).collect()
     }
 
     /// Handles a rank whose state could not be read.
--- a/crates/fuchsiabay-lockstep/tests/faults.rs
+++ b/crates/fuchsiabay-lockstep/tests/faults.rs
@@ -233,10 +233,9 @@
                     let reply = group.order(rank, &order, now_ms);
                     switch.handle_reply(rank, &order, reply, now);
                 }
-                if switch.needs_states() {
-                    for (rank, state) in group.states().iter().enumerate() {
-                        switch.handle_state(rank, state, now);
-                    }
+                let states = group.states();
+                for rank in switch.ranks_to_read() {
+                    switch.handle_state(rank, &states[rank], now);
                 }
                 match switch.outcome() {
                     None => Coordinator::Switching(switch),
--- a/crates/fuchsiabay-prove/src/lockstep_world.rs
+++ b/crates/fuchsiabay-prove/src/lockstep_world.rs
@@ -226,11 +226,12 @@
             let reply = self.send_order(rank, epoch, &order, now_ms);
             switch.handle_reply(rank, &order, reply, now);
         }
-        if switch.needs_states() {
+        let ranks = switch.ranks_to_read();
+        if !ranks.is_empty() {
             if self.group.epoch != epoch {
                 return None;
             }
-            for rank in 0..RANKS {
+            for rank in ranks {
                 match self.is_unreachable(rank, now_ms) {
                     true => switch.handle_unreachable(rank),
                     false => switch.handle_state(rank, &self.group.rank_state(rank), now),
