--- a/crates/fuchsiabay-gateway/src/agent.rs
+++ b/crates/fuchsiabay-gateway/src/agent.rs
@@ -3,6 +3,7 @@
 //! A query from the engine's own instance costs its group nothing, while a query from another instance pauses every rank.
 
 use std::{
+    borrow::Cow,
     net::SocketAddr,
     sync::{
         Arc,
@@ -22,6 +23,7 @@
 
 use crate::{
     CallResponse, HttpClient, StartError,
+    compression::{ORDER_ENCODING, decompress},
     http::{BodyReader, BufferedSocket, RequestHead},
     signals::{SignalAction, SignalListener},
 };
@@ -206,8 +208,11 @@
             Some(Err(_)) => return Some(CallResponse { status: 400, body: Vec::new() }),
         };
         let is_own_engine = engine == self.settings.engine;
+        let Some(body) = decode_body(head, body) else {
+            return Some(CallResponse { status: 400, body: Vec::new() });
+        };
         let content_type = head.headers.get("content-type").unwrap_or("application/json");
-        let post = (head.method == "POST").then_some((content_type, body));
+        let post = (head.method == "POST").then_some((content_type, body.as_ref()));
         self.call(engine, is_own_engine, &head.target, post).await
     }
 
@@ -266,6 +271,15 @@
     }
 }
 
+/// Returns the body of a request, decompressed if it is compressed. None if it cannot be decoded.
+fn decode_body<'a>(head: &RequestHead, body: &'a [u8]) -> Option<Cow<'a, [u8]>> {
+    match head.headers.get("content-encoding") {
+        None => Some(body.into()),
+        Some(ORDER_ENCODING) => decompress(body, MAX_BODY_BYTES).map(Cow::from),
+        Some(_) => None,
+    }
+}
+
 fn encode_response(response: Option<&CallResponse>) -> Vec<u8> {
     let (status, body) = response.map_or((504, &[][..]), |response| (response.status, &response.body));
     let mut out = format!(
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -14,6 +14,7 @@
 mod backend;
 mod caller;
 mod client;
+mod compression;
 mod coordinator_lease;
 mod daemon;
 mod drain;
@@ -35,6 +36,7 @@
 
 pub use agent::{AgentSettings, DEMAND_PATH, RunningAgent, TARGET_ENGINE_HEADER, run_agent};
 pub use client::{CallError, CallResponse, HttpClient};
+pub use compression::{ORDER_ENCODING, compress};
 pub use daemon::{RunningGateway, StartError, run};
 pub use groups::{EngineControl, EngineError, RankExperts};
 pub use header_names::HeaderNames;
