Look at each server once to find a slot

Cause: whether a server slows its group was decided by comparing it with the fastest of all servers, for each server again: 192 x 192 steps for each request and each waiting request.

Change: the limit is computed once. No behaviour changes; the tests of the pool cover it.

--- a/crates/fuchsiabay-balancer/src/pool/queries.rs
+++ b/crates/fuchsiabay-balancer/src/pool/queries.rs
@@ -84,10 +84,11 @@
         if !job.is_resumption && self.is_late(job, now) && !self.has_unreserved_slot(now) {
             return None;
         }
+        let max_slowdown = self.max_slowdown();
         let fits = |member: &&(usize, &Member)| {
             let member = member.1;
             member.is_eligible(now)
-                && !self.slows_its_group(member)
+                && member.slowdown <= max_slowdown
                 && !self.is_member_stalled(member, now)
                 && member.load(now) < self.slot_limit(member)
                 && !is_excluded(member, job)
@@ -124,12 +125,14 @@
         member.is_some_and(|member| self.is_member_stalled(member, now))
     }
 
-    /// Returns whether the server is a rank much slower than the fastest one. Its requests would slow down every rank
-    /// of the group, because the ranks run in lockstep.
-    fn slows_its_group(&self, member: &Member) -> bool {
-        let is_lockstep = self.engine.as_ref().is_some_and(|engine| engine.sets > 0);
+    /// Returns the largest slowdown of a server that gets requests. The requests of a rank that is much slower than the fastest
+    /// one would slow down every rank of the group, because the ranks run in lockstep.
+    fn max_slowdown(&self) -> f64 {
+        if self.engine.as_ref().is_none_or(|engine| engine.sets == 0) {
+            return f64::INFINITY;
+        }
         let fastest = self.members.iter().map(|member| member.slowdown).fold(f64::INFINITY, f64::min);
-        is_lockstep && member.slowdown > fastest * MAX_SLOWDOWN_RATIO
+        fastest * MAX_SLOWDOWN_RATIO
     }
 
     fn is_member_stalled(&self, member: &Member, now: Timestamp) -> bool {
