Do not cut off slow streams that may not be moved

A server that starts no response for 0.7 s while others do counted as silent, so the gateway gave up its attempt and asked for a retry afterwards.

Change: the retry is taken from the budget before the attempt is given up, otherwise the request stays. A silent server is skipped after three times the time to the first byte at the fastest server, so the ranks of one slow group are not exchanged for one another, while a fast group is still used instead of a slow one.

Ruled out: the threshold as a multiple of the mean of all servers; it keeps requests at a slow group beside a fast one.

--- a/crates/fuchsiabay-balancer/src/pool/commands.rs
+++ b/crates/fuchsiabay-balancer/src/pool/commands.rs
@@ -107,6 +107,7 @@
         self.traffic.record_first_byte(now.millis_since(grant.granted_at));
         if let Some(member) = self.member(&grant.server.id) {
             member.record_response_started(now);
+            member.record_first_byte(now.millis_since(grant.granted_at), now);
         }
     }
 
--- a/crates/fuchsiabay-balancer/src/pool/member.rs
+++ b/crates/fuchsiabay-balancer/src/pool/member.rs
@@ -10,6 +10,13 @@
 /// about the current load.
 const REPORT_LIFETIME_MS: u64 = 1_500;
 
+/// The weight of a new sample in the moving average of the time to the first byte.
+const FIRST_BYTE_WEIGHT: f64 = 0.3;
+
+/// How long the time to the first byte of a server is used after its last response, in milliseconds. Callers wait for a first
+/// byte for 2 s and longer.
+const FIRST_BYTE_LIFETIME_MS: u64 = 3_000;
+
 #[derive(Clone, Debug)]
 pub(super) struct Member {
     pub(super) record: Arc<ServerRecord>,
@@ -32,6 +39,10 @@
     awaiting_response: u32,
     /// The time since which the server has not started a response although a request waits for one.
     silent_since: Option<Timestamp>,
+    /// The moving average of the time to the first byte of a response, in milliseconds.
+    first_byte_ms: f64,
+    /// Until when the average is recent.
+    first_byte_until: Option<Timestamp>,
     /// Whether the server is no longer ready in the directory. The member is kept until its last request ends.
     pub(super) is_leaving: bool,
 }
@@ -50,6 +61,8 @@
             slowdown: 1.0,
             awaiting_response: 0,
             silent_since: None,
+            first_byte_ms: 0.0,
+            first_byte_until: None,
             is_leaving: false,
         }
     }
@@ -112,6 +125,18 @@
         self.silent_since = (self.awaiting_response > 0).then_some(now);
     }
 
+    /// Records the time from sending a request to the first byte of its response.
+    pub(super) fn record_first_byte(&mut self, ms: u64, now: Timestamp) {
+        let weight = if self.first_byte_ms(now).is_some() { FIRST_BYTE_WEIGHT } else { 1.0 };
+        self.first_byte_ms += weight * (ms as f64 - self.first_byte_ms);
+        self.first_byte_until = Some(now.plus_millis(FIRST_BYTE_LIFETIME_MS));
+    }
+
+    /// Returns the mean time to the first byte of a response, in milliseconds. None if there was none recently.
+    pub(super) fn first_byte_ms(&self, now: Timestamp) -> Option<u64> {
+        self.first_byte_until.is_some_and(|until| until > now).then_some(self.first_byte_ms as u64)
+    }
+
     /// Returns for how long the server has not started a response although a request waits for one, in milliseconds.
     pub(super) fn silent_ms(&self, now: Timestamp) -> u64 {
         self.silent_since.map_or(0, |since| now.millis_since(since))
--- a/crates/fuchsiabay-balancer/src/pool/queries.rs
+++ b/crates/fuchsiabay-balancer/src/pool/queries.rs
@@ -20,9 +20,12 @@
 /// The maximum ratio of a rank's slowdown to that of the fastest rank. A slower rank gets no requests.
 const MAX_SLOWDOWN_RATIO: f64 = 1.8;
 
-/// How long a server may go without starting a response before it is skipped, in milliseconds. This is three times the
-/// time to the first event when all slots are in use.
-const STALL_MS: u64 = 700;
+/// The minimum time without starting a response after which a server is skipped, in milliseconds.
+const MIN_STALL_MS: u64 = 700;
+
+/// The same, as a multiple of the time to the first byte at the fastest server. If all servers are slow, such as those of one
+/// group, none of them is skipped.
+const STALL_FIRST_BYTES: u64 = 3;
 
 /// How recently some server must have started a response for a silent one to be skipped, in milliseconds. Otherwise the
 /// whole service is slow, and skipping a server has no benefit.
@@ -136,7 +139,14 @@
     }
 
     fn is_member_stalled(&self, member: &Member, now: Timestamp) -> bool {
-        member.silent_ms(now) >= STALL_MS && now.millis_since(self.last_response_at) <= RECENT_RESPONSE_MS
+        member.silent_ms(now) >= MIN_STALL_MS
+            && member.silent_ms(now) >= STALL_FIRST_BYTES * self.fastest_first_byte_ms(now)
+            && now.millis_since(self.last_response_at) <= RECENT_RESPONSE_MS
+    }
+
+    /// Returns the mean time to the first byte at the fastest server, or 0 if none has responded recently, in milliseconds.
+    fn fastest_first_byte_ms(&self, now: Timestamp) -> u64 {
+        self.members.iter().filter_map(|member| member.first_byte_ms(now)).min().unwrap_or(0)
     }
 
     /// Returns whether some server could run `job` once a slot is free.
--- a/crates/fuchsiabay-balancer/tests/pool.rs
+++ b/crates/fuchsiabay-balancer/tests/pool.rs
@@ -276,3 +276,46 @@
     pool.finish(&probe, Outcome::Failure, true, at(1_520));
     assert!(matches!(pool.admit(job(at(20_000)), at(20_000)), Admission::Granted(_)));
 }
+
+/// Guards against moving every request of a group whose steps take a second: all its ranks respond at the same moments, and a
+/// request that is moved starts again from its prompt.
+#[test]
+fn servers_that_are_all_slow_are_not_silent() {
+    let mut pool = pool(&["a", "b"]);
+    let mut now = at(0);
+    for step in 1..40 {
+        let grants = [grant(&mut pool, now), grant(&mut pool, now)];
+        now = at(step * 1_000);
+        for grant in grants {
+            pool.record_response_started(&grant, now);
+            pool.finish(&grant, Outcome::Success, true, now);
+        }
+    }
+    let waiting = grant(&mut pool, now);
+    // The other server responds after a second, again and again.
+    for second in 1..=4 {
+        let other = grant(&mut pool, now);
+        assert_ne!(other.server.id, waiting.server.id);
+        now = now.plus_millis(1_000);
+        pool.record_response_started(&other, now);
+        pool.finish(&other, Outcome::Success, true, now);
+        assert_eq!(pool.is_stalled(&waiting.server.id, now), second >= 3, "after {second} s");
+    }
+}
+
+/// Guards against requests that stay at a slow group although another group of the service responds at once.
+#[test]
+fn slow_server_is_silent_beside_a_fast_one() {
+    let mut pool = pool(&["a", "b"]);
+    let slow = grant(&mut pool, at(0));
+    let mut now = at(0);
+    for _ in 0..10 {
+        let fast = grant(&mut pool, now);
+        now = now.plus_millis(100);
+        if fast.server.id != slow.server.id {
+            pool.record_response_started(&fast, now);
+            pool.finish(&fast, Outcome::Success, true, now);
+        }
+    }
+    assert!(pool.is_stalled(&slow.server.id, now));
+}
--- a/crates/fuchsiabay-gateway/src/request/forwarder.rs
+++ b/crates/fuchsiabay-gateway/src/request/forwarder.rs
@@ -52,6 +52,8 @@
     waited_ms: u64,
     /// The number of attempts that failed with `Unavailable` or `Misdirected`.
     unavailable_attempts: u32,
+    /// Whether the retry that moves the request from a slow server was taken from the budget.
+    has_taken_retry: bool,
 }
 
 impl<'a> Forwarder<'a> {
@@ -67,6 +69,7 @@
             is_resumption: false,
             waited_ms: 0,
             unavailable_attempts: 0,
+            has_taken_retry: false,
         }
     }
 
@@ -222,21 +225,23 @@
         self.tried.push(server.id.clone());
         let previous_verdict = self.verdict;
         let slow_at = self.slow_at();
+        let this = &*self;
         let attempt = async {
             let connections = &request.gateway.connections;
             let connection =
                 connections.take(&server.id, server.address, request.kind().is_idempotent()).await?;
             let left_ms = request.deadline.millis_since(monotonic_now());
-            let bytes = self.outgoing.encode(&server.id, left_ms, self.last_event_id.as_deref());
+            let bytes = this.outgoing.encode(&server.id, left_ms, this.last_event_id.as_deref());
             let slow = async {
-                self.wait_until_slow(&server.id, slow_at).await;
+                this.wait_until_slow(&server.id, slow_at).await;
                 Err(Failure::may_have_run(FailureKind::Slow))
             };
-            Attempt::start(connection, self.outgoing, &bytes, request.gateway.settings.header_names)
+            Attempt::start(connection, this.outgoing, &bytes, request.gateway.settings.header_names)
                 .or(slow)
                 .await
         };
         let result = until_interrupted(socket, request.deadline, attempt).await;
+        self.has_taken_retry = matches!(&result, Ok(Err(failure)) if failure.kind == FailureKind::Slow);
         self.verdict = match &result {
             Ok(Err(failure)) => previous_verdict.max(failure.verdict),
             // The request was or may have been sent, so it may have run unless the server reports otherwise. This also
@@ -273,7 +278,8 @@
     }
 
     /// Waits until the request should be moved to another server: the attempt is slow or its server has stalled while others
-    /// respond, and another server has a free slot. Never returns if the request is not idempotent or has no attempts left.
+    /// respond, another server has a free slot, and a retry could be taken from the budget. Never returns if the request is
+    /// not idempotent or has no attempts left.
     async fn wait_until_slow(&self, server: &InstanceId, slow_at: Timestamp) {
         let may_move =
             self.request.kind().is_idempotent() && (self.tried.len() as u32) < self.request.route.attempts;
@@ -282,7 +288,9 @@
             let is_slow = now >= slow_at || self.request.shard.is_stalled(server);
             if may_move
                 && is_slow
+                && self.request.deadline.millis_since(now) >= MIN_ATTEMPT_MS
                 && self.request.shard.has_free_slot(&self.request.job(&self.tried, self.is_resumption))
+                && self.take_retry(now)
             {
                 return;
             }
@@ -307,8 +315,11 @@
         }
         // If the connection could not be opened, the server received nothing, so the next attempt is not charged to the
         // retry budget.
-        failure.kind == FailureKind::Connect
-            || request.shard.take_retry(request.gateway.instance_count(), now)
+        failure.kind == FailureKind::Connect || self.has_taken_retry || self.take_retry(now)
+    }
+
+    fn take_retry(&self, now: Timestamp) -> bool {
+        self.request.shard.take_retry(self.request.gateway.instance_count(), now)
     }
 
     fn failure_outcome(&self, failure: Failure) -> RequestOutcome {
--- a/crates/fuchsiabay-gateway/tests/lifecycle.rs
+++ b/crates/fuchsiabay-gateway/tests/lifecycle.rs
@@ -225,3 +225,16 @@
         assert_eq!(harness.received(), 0);
     });
 }
+
+/// Guards against cutting off a request at a slow server although it may not be sent to another one: on one day, 1,346 callers
+/// of slow but sound streams got an error.
+#[test]
+fn slow_request_is_not_cut_off_without_a_retry_budget() {
+    smol::block_on(async {
+        let harness = Harness::start(2, &[Behaviour::Slow(600)]).await;
+        let retries = RetryLimits { ratio: 0.0, slack: 0, window_ms: 10_000 };
+        harness.gateway.apply(LiveSettings { retries, ..LIVE });
+        assert_eq!(send_request(&harness).await.status, 200);
+        assert_eq!(harness.received(), 1);
+    });
+}
