--- a/crates/fuchsiabay-experts/src/step_gate.rs
+++ b/crates/fuchsiabay-experts/src/step_gate.rs
@@ -1,6 +1,6 @@
 //! The step gate of the agent beside one backend server of a group.
 
-use fuchsiabay_base::{WriterId, invariant, is_mechanism_enabled};
+use fuchsiabay_base::{WriterId, is_mechanism_enabled};
 
 use crate::{MapLedger, MapRecord, MapVersion, SwitchId};
 
@@ -70,12 +70,6 @@
             }
             through = through.min(pending.hold_step - 1);
         }
-        let promise = ledger.pending().filter(|pending| self.voted == Some(pending.switch));
-        invariant!(
-            "vote-promises-the-future",
-            promise.is_none_or(|pending| through < pending.hold_step),
-            "steps through {through} permitted after the vote for {promise:?}"
-        );
         self.permitted_through = self.permitted_through.max(Some(through));
         Some(Permit { generation: ledger.generation(), map, through })
     }
--- a/crates/fuchsiabay-prove/src/map_world.rs
+++ b/crates/fuchsiabay-prove/src/map_world.rs
@@ -281,6 +281,14 @@
             return;
         }
         if let Some(permit) = state.gate.permit(ledger, self.next_step, PERMIT_AHEAD) {
+            // A vote promises that the rank does not pass the hold step before the switch is decided.
+            let promise = ledger.pending().filter(|pending| state.gate.voted() == Some(pending.switch));
+            if let Some(pending) = promise.filter(|pending| permit.through >= pending.hold_step) {
+                self.outcome.add_violation(format!(
+                    "steps through {} were permitted after a vote for a switch at step {}",
+                    permit.through, pending.hold_step
+                ));
+            }
             self.schedule.after(delay, Event::PermitArrived { rank: agent, permit });
         }
     }
