Check the coordinator lease before each order

Cause, found by reading: the lease was checked before a batch of orders was sent. Since the calls to a large group run 32 at a time, and a prepare order may take 1 s, the last orders of a batch could be sent after the lease had ended, while a successor already gives orders.

Change: the lease is checked right before each order; one that may not be sent counts as unanswered, and the switch ends as it does whenever the lease is lost.

--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -259,7 +259,8 @@
         if orders.is_empty() {
             Timer::after(SWITCH_POLL_INTERVAL).await;
         }
-        for (rank, order, reply) in send_all(engines, &group.ranks, group.epoch, orders).await {
+        let lease = gateway.coordinator_lease();
+        for (rank, order, reply) in send_all(lease, engines, &group.ranks, group.epoch, orders).await {
             switch.handle_reply(rank, &order, reply, monotonic_now());
         }
         let to_read = switch.ranks_to_read();
--- a/crates/fuchsiabay-gateway/src/groups/discovery.rs
+++ b/crates/fuchsiabay-gateway/src/groups/discovery.rs
@@ -82,7 +82,7 @@
         log::warn!(group = name, rank = *rank, order = order.as_str(); "group: resolving an unfinished switch");
     }
     let servers: Vec<_> = ranks.iter().map(|(server, _)| server.clone()).collect();
-    send_all(engines, &servers, states[0].epoch, orders).await;
+    send_all(gateway.coordinator_lease(), engines, &servers, states[0].epoch, orders).await;
     false
 }
 
--- a/crates/fuchsiabay-gateway/src/groups/orders.rs
+++ b/crates/fuchsiabay-gateway/src/groups/orders.rs
@@ -8,6 +8,7 @@
 use smol::lock::Semaphore;
 
 use super::EngineControl;
+use crate::coordinator_lease::CoordinatorLease;
 
 /// The maximum number of concurrent calls to the ranks of a group. With more, the responses wait for the link and the
 /// processor of this instance, and the calls time out although the agents respond at once.
@@ -38,7 +39,11 @@
 }
 
 /// Sends `orders` to the given ranks concurrently. Returns each with its reply, in the same sequence.
+///
+/// The coordinator lease is checked before each order, because the first orders of a large group may take longer than the
+/// rest of the lease. An order that is not sent counts as unanswered.
 pub(super) async fn send_all<E: EngineControl>(
+    lease: &CoordinatorLease,
     engines: &Arc<E>,
     ranks: &[Arc<ServerRecord>],
     epoch: u64,
@@ -47,8 +52,12 @@
     let replies = call_each(orders, |(rank, order)| {
         let (engines, server) = (engines.clone(), ranks[rank].clone());
         let via = ranks[relaying_rank(rank, &order, ranks.len())].clone();
+        let may_send = lease.is_held();
         async move {
-            let reply = engines.send_order(&server, &via, epoch, &order).await;
+            let reply = match may_send {
+                true => engines.send_order(&server, &via, epoch, &order).await,
+                false => OrderReply::Unanswered,
+            };
             (rank, order, reply)
         }
     })
