Forbid the time of day in the programs on the platform

The time of day jumps on some instances. The gateway, the balancer, the lockstep crate and the adapter use it for the generation of an instance only, which neighbours do not compare. The style check now fails on any other use; shown by a file with such a use, which the check named.

--- a/xtask/src/style.rs
+++ b/xtask/src/style.rs
@@ -35,6 +35,17 @@
 /// The folder of the platform adapter, the only code that may use the platform's names.
 const PLATFORM_DIR: &str = "platform";
 
+/// The folders of the programs on the users' platform. Their leases, deadlines and freshness must not depend on the time of
+/// day, which jumps on some instances.
+const MONOTONIC_DIRS: [&str; 4] =
+    ["crates/fuchsiabay-balancer", "crates/fuchsiabay-gateway", "crates/fuchsiabay-lockstep", PLATFORM_DIR];
+
+/// Uses of clocks that show the time of day.
+const WALL_CLOCK_USES: [&str; 2] = ["unix_now()", "SystemTime"];
+
+/// The only field that may be set from the time of day. Neighbours do not compare generations.
+const GENERATION_FIELD: &str = "generation:";
+
 /// Names that belong to the users' platform.
 const PLATFORM_NAMES: [&str; 13] = [
     "Expect-Instance",
@@ -88,12 +99,17 @@
 fn check_file(path: &Path, violations: &mut Vec<StyleViolation>) -> io::Result<()> {
     let text = fs::read_to_string(path)?;
     let allows_platform_names = path.starts_with(PLATFORM_DIR);
+    let must_be_monotonic = MONOTONIC_DIRS.iter().any(|dir| path.starts_with(dir));
     for (i, line) in text.lines().enumerate() {
         let violation = |rule| StyleViolation { path: path.to_owned(), line: i + 1, rule };
         violations.extend(find_broken_rule(line).map(violation));
         if !allows_platform_names && PLATFORM_NAMES.iter().any(|name| line.contains(name)) {
             violations.push(violation("platform names are allowed only in the platform adapter"));
         }
+        let uses_wall_clock = WALL_CLOCK_USES.iter().any(|name| line.contains(name));
+        if must_be_monotonic && uses_wall_clock && !line.trim_start().starts_with(GENERATION_FIELD) {
+            violations.push(violation("the programs on the platform must not use the time of day"));
+        }
     }
     let lines = text.lines().count();
     if lines > MAX_FILE_LINES {
