Log what counts as a crash, and log outages of engines once

'crash: counted' states the fingerprint, the count and the prompt parts. The agent and the group checks log when an engine stops or begins to respond instead of each failed call. No decision changes.

--- a/crates/fuchsiabay-balancer/src/group_survey.rs
+++ b/crates/fuchsiabay-balancer/src/group_survey.rs
@@ -71,15 +71,18 @@
         queries
     }
 
-    /// Records the response of a rank. None means that it did not respond.
-    pub fn record(&mut self, server: &InstanceId, report: Option<GroupReport>, now: Timestamp) {
+    /// Records the response of a rank. None means that it did not respond. Returns whether the rank became reachable or
+    /// unreachable.
+    pub fn record(&mut self, server: &InstanceId, report: Option<GroupReport>, now: Timestamp) -> bool {
         let rank = self.ranks.entry(server.clone()).or_default();
+        let was_unreachable = rank.unreachable_since.is_some();
         match report {
             Some(report) => *rank = Rank { report: Some(report), unreachable_since: None },
             None => {
                 rank.unreachable_since.get_or_insert(now);
             }
         }
+        rank.unreachable_since.is_some() != was_unreachable
     }
 
     /// Returns for each of `servers` whether its group is open, as far as the reports of `queried` tell. A server that cannot
--- a/crates/fuchsiabay-balancer/tests/group_survey.rs
+++ b/crates/fuchsiabay-balancer/tests/group_survey.rs
@@ -57,7 +57,9 @@
     let (mut survey, servers) = known(RANKS);
     for is_open in [false, true] {
         let queried = survey.next_queries(&servers);
-        queried.iter().for_each(|i| survey.record(&servers[*i], report(RANKS, is_open), at(1)));
+        for i in queried.iter() {
+            survey.record(&servers[*i], report(RANKS, is_open), at(1));
+        }
         let states = survey.open_servers(&servers, &queried);
         assert_eq!(states.len(), RANKS);
         assert!(states.iter().all(|(_, open)| *open == is_open));
--- a/crates/fuchsiabay-gateway/src/agent.rs
+++ b/crates/fuchsiabay-gateway/src/agent.rs
@@ -4,10 +4,11 @@
 
 use std::{
     borrow::Cow,
+    fmt::Display,
     net::SocketAddr,
     sync::{
         Arc,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, AtomicU64, Ordering},
     },
     time::Duration,
 };
@@ -75,6 +76,8 @@
     idle_clients: Mutex<Vec<HttpClient>>,
     calls: AtomicU64,
     unanswered: AtomicU64,
+    /// Whether the engine of this instance did not respond to the last call.
+    engine_is_silent: AtomicBool,
     demand: Mutex<DemandCounter>,
 }
 
@@ -121,6 +124,7 @@
             idle_clients: Mutex::default(),
             calls: AtomicU64::new(0),
             unanswered: AtomicU64::new(0),
+            engine_is_silent: AtomicBool::new(false),
             demand: Mutex::default(),
         });
         Ok(Self { listen, _accept: spawn(accept_connections(agent, listener)) })
@@ -244,6 +248,9 @@
             None => client.get(target, deadline).await,
         };
         self.record_call(started_at, result.is_ok());
+        if is_own_engine {
+            self.log_outage(target, &result);
+        }
         match result {
             Ok(response) => {
                 let mut idle_clients = self.idle_clients.lock();
@@ -253,12 +260,24 @@
                 Some(response)
             }
             Err(error) => {
-                log::info!(path = target, error:% = error; "agent: no response from the engine");
+                log::debug!("agent: no response to {target}: {error}");
                 None
             }
         }
     }
 
+    /// Logs when the engine of this instance stops responding and when it responds again.
+    fn log_outage<T, E: Display>(&self, target: &str, result: &Result<T, E>) {
+        let was_silent = self.engine_is_silent.swap(result.is_err(), Ordering::Relaxed);
+        match result {
+            Ok(_) if was_silent => log::info!("agent: the engine responds again"),
+            Err(error) if !was_silent => {
+                log::info!(path = target, error:% = error; "agent: no response from the engine");
+            }
+            _ => {}
+        }
+    }
+
     fn record_call(&self, started_at: Timestamp, is_answered: bool) {
         self.calls.fetch_add(1, Ordering::Relaxed);
         if !is_answered {
--- a/crates/fuchsiabay-gateway/src/groups/group_check.rs
+++ b/crates/fuchsiabay-gateway/src/groups/group_check.rs
@@ -48,6 +48,8 @@
     groups: GroupSurvey,
     /// When some ranks are checked even if there are no signs of a closed group.
     next_check_at: Timestamp,
+    /// The number of servers whose groups were closed or incomplete at the last check.
+    closed: usize,
 }
 
 /// Queries some ranks of a service and blocks the servers of closed groups.
@@ -70,17 +72,24 @@
             size: state.group_size.into(),
             is_open: state.is_open,
         });
-        survey.groups.record(&server.id, report, now);
+        let is_reachable = report.is_some();
+        if survey.groups.record(&server.id, report, now) {
+            log::info!(
+                service = shard.name().as_str(), server = server.id.as_str(), is_reachable;
+                "group: reachability of a rank changed"
+            );
+        }
     }
     let slowdowns: Vec<_> =
         states.iter().map(|(server, _, state)| (server.id.clone(), state.slowdown)).collect();
     shard.set_slowdowns(&slowdowns);
     let open_servers = survey.groups.open_servers(&ids, &queried);
     let closed = open_servers.iter().filter(|(_, is_open)| !is_open).count();
-    if closed > 0 {
+    if std::mem::replace(&mut survey.closed, closed) != closed {
+        let message = if closed > 0 { "group: closed or incomplete" } else { "group: open again" };
         log::info!(
             service = shard.name().as_str(), asked = asked.len(), answered = states.len(), closed;
-            "group: closed or incomplete"
+            "{message}"
         );
     }
     shard.set_open_groups(&open_servers, survey.groups.has_unreachable_rank(now));
--- a/crates/fuchsiabay-gateway/src/groups/orders.rs
+++ b/crates/fuchsiabay-gateway/src/groups/orders.rs
@@ -105,7 +105,7 @@
         match state {
             Ok(Some((group, state))) => known.push((server, group, state)),
             Ok(None) => {}
-            Err(error) => log::info!(error:% = error; "group: failed to read the state of a rank"),
+            Err(error) => log::debug!("group: failed to read the state of a rank: {error}"),
         }
     }
     known
--- a/crates/fuchsiabay-gateway/src/header_names.rs
+++ b/crates/fuchsiabay-gateway/src/header_names.rs
@@ -21,6 +21,9 @@
     pub at_fault: &'static str,
     /// Number of prompt tokens and maximum number of output tokens.
     pub token_count: &'static str,
+    /// The parts of the prompt, in order, as `ID:TOKENS` separated by commas. The last one belongs to the request or to its
+    /// session, the others are shared.
+    pub prompt_parts: &'static str,
     /// Caller's estimate of the number of output tokens.
     pub length_hint: &'static str,
     /// Priority of the request at the engine.
--- a/crates/fuchsiabay-gateway/src/request/forwarder.rs
+++ b/crates/fuchsiabay-gateway/src/request/forwarder.rs
@@ -106,7 +106,12 @@
         self.verdict = self.verdict.max(failure.verdict);
         request_metrics::count_failed_attempt(failure);
         if failure.kind == FailureKind::ConnectionLost {
-            self.request.shard.record_crash(self.request.fingerprint, now);
+            let crashes = self.request.shard.record_crash(self.request.fingerprint, now);
+            log::info!(
+                request = self.request.request_id, server = server.as_str(), crashes,
+                fingerprint:% = self.request.fingerprint, prompt_parts = self.request.prompt_parts();
+                "crash: counted"
+            );
         }
         match failure.kind {
             FailureKind::Connect => {
--- a/crates/fuchsiabay-gateway/src/request/routed_request.rs
+++ b/crates/fuchsiabay-gateway/src/request/routed_request.rs
@@ -134,6 +134,11 @@
         self.route.kind
     }
 
+    /// Returns the parts of the prompt as the caller stated them.
+    pub(super) fn prompt_parts(&self) -> &str {
+        self.head.headers.get(self.gateway.settings.header_names.prompt_parts).unwrap_or_default()
+    }
+
     fn priority(&self) -> u8 {
         self.workspace.as_ref().and_then(|workspace| workspace.priority).unwrap_or(self.route.priority)
     }
