--- /dev/null
+++ b/crates/fuchsiabay-gateway/tests/crash_containment.rs
@@ -0,0 +1,151 @@
+//! Requests that crash the servers that run them, sent to several entry instances in front of the same servers.
+
+#[path = "support/cases.rs"]
+#[macro_use]
+mod cases;
+mod support;
+
+use std::{
+    sync::Arc,
+    time::{Duration, Instant},
+};
+
+use smol::Timer;
+use support::{
+    Harness,
+    crashing::{BAD, CrashingFleet},
+    harness::config,
+    platform::FakePlatform,
+};
+
+/// The number of servers. Some are up while others restart.
+const SERVERS: usize = 6;
+
+/// How long the system may take to apply what the crashes show: `contact_ms` of the rules.
+const CONTACT: Duration = Duration::from_millis(3_000);
+
+/// The number of bad requests that may reach servers after that.
+const MAX_LATE_ARRIVALS: usize = 3;
+
+/// How long requests are sent.
+const RUN: Duration = Duration::from_millis(10_000);
+
+/// The shared first parts of the prompts. Sound and bad requests use the same ones.
+const FIRST_PARTS: usize = 3;
+
+/// Bad requests, and what the system may make of them.
+#[derive(Clone, Copy)]
+struct Case {
+    /// Returns the n-th bad request.
+    make: fn(usize) -> String,
+    /// The pause between two bad requests.
+    pause: Duration,
+    /// The number of entry instances.
+    instances: usize,
+    /// The number of crashes after which the system must know the cause.
+    free_crashes: usize,
+}
+
+const BAD_PART: Case =
+    Case { make: bad_part, pause: Duration::from_millis(130), instances: 2, free_crashes: 5 };
+const BAD_FIRST_PART: Case = Case { make: bad_first_part, ..BAD_PART };
+/// So rare that an instance that counts for itself learns the cause late.
+const BAD_BODY: Case =
+    Case { make: bad_body, pause: Duration::from_millis(1_200), instances: 4, free_crashes: 3 };
+
+/// Starts entry instances that know each other, in front of the same servers.
+async fn start(instances: usize) -> (CrashingFleet, Vec<Harness>) {
+    let platform = FakePlatform::default();
+    *platform.config.lock().unwrap() = Some(config(1));
+    let fleet = CrashingFleet::start(platform.clone(), SERVERS).await;
+    let mut harnesses = Vec::new();
+    for _ in 0..instances {
+        let platform = FakePlatform { reads: Arc::default(), ..platform.clone() };
+        harnesses.push(Harness::start_with(platform, Vec::new(), &[]).await);
+    }
+    let members = harnesses.iter().map(|harness| harness.gateway.peer_addr()).collect();
+    *platform.members.lock().unwrap() = members;
+    for harness in &harnesses {
+        harness.wait_until_ready().await;
+    }
+    (fleet, harnesses)
+}
+
+fn request(id: &str, parts: &str, body: &str) -> String {
+    format!(
+        "POST /stream/a HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Call: {id}\r\nX-Left: 900\r\n\
+         X-Parts: {parts}\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+fn bad_part(n: usize) -> String {
+    request(
+        &format!("b{n}"),
+        &format!("first{}:40,{BAD}:300,own{n}:20", n % FIRST_PARTS),
+        &format!("body{n}"),
+    )
+}
+
+fn bad_first_part(n: usize) -> String {
+    request(&format!("b{n}"), &format!("{BAD}:40,own{n}:20"), &format!("body{n}"))
+}
+
+fn bad_body(n: usize) -> String {
+    request(&format!("b{n}"), "", BAD)
+}
+
+/// Sends sound requests that share their caller and their first part with the bad ones. Returns for each one when it was sent
+/// and whether it was served.
+async fn send_sound(harnesses: &[Harness], started: Instant) -> Vec<(Instant, bool)> {
+    let mut results = Vec::new();
+    for n in 0.. {
+        if started.elapsed() > RUN {
+            break;
+        }
+        let req =
+            request(&format!("s{n}"), &format!("first{}:40,own-s{n}:20", n % FIRST_PARTS), &format!("s{n}"));
+        let sent = Instant::now();
+        let res = harnesses[n % harnesses.len()].caller().await.round_trip(req.as_bytes()).await;
+        results.push((sent, res.is_some_and(|res| res.status == 200 && res.is_complete)));
+        Timer::after(Duration::from_millis(20)).await;
+    }
+    results
+}
+
+async fn send_bad(harnesses: &[Harness], started: Instant, case: Case) {
+    let mut n = 0;
+    while started.elapsed() < RUN {
+        let mut caller = harnesses[n % harnesses.len()].caller().await;
+        let req = (case.make)(n);
+        smol::spawn(async move { caller.round_trip(req.as_bytes()).await }).detach();
+        Timer::after(case.pause).await;
+        n += 1;
+    }
+}
+
+/// Checks how many bad requests reach servers once the system must know the cause, and that sound requests are served.
+async fn check(case: Case) {
+    let (fleet, harnesses) = start(case.instances).await;
+    let started = Instant::now();
+    let (results, ()) =
+        futures_lite::future::zip(send_sound(&harnesses, started), send_bad(&harnesses, started, case)).await;
+    let crashes = fleet.crashes();
+    let last_free = crashes.get(case.free_crashes - 1).or(crashes.last()).copied().expect("a crash");
+    let late = fleet.bad_arrivals().iter().filter(|at| **at > last_free + CONTACT).count();
+    assert!(late <= MAX_LATE_ARRIVALS, "{late} bad requests reached servers, {} crashes", crashes.len());
+    let after: Vec<bool> =
+        results.iter().filter(|(at, _)| *at > last_free + 2 * CONTACT).map(|(_, served)| *served).collect();
+    let served = after.iter().filter(|served| **served).count();
+    assert!(served * 2 >= after.len(), "{served} of {} sound requests were served", after.len());
+    let first = started + Duration::from_millis(500);
+    assert!(results.iter().any(|(at, served)| *at < first && *served), "sound requests are served at first");
+}
+
+cases! { check:
+    /// Guards against a part of a prompt that crashes one server after the other, whatever else the requests hold.
+    part_of_a_prompt_stops_crashing_servers(BAD_PART);
+    first_part_of_a_prompt_stops_crashing_servers(BAD_FIRST_PART);
+    /// Guards against a request that crashes servers at each of the entry instances, because each counts for itself.
+    repeated_request_stops_crashing_servers_at_all_instances(BAD_BODY);
+}
--- a/crates/fuchsiabay-gateway/tests/support/mod.rs
+++ b/crates/fuchsiabay-gateway/tests/support/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code, missing_docs, unreachable_pub, unused_imports)]
 
 pub mod caller;
+pub mod crashing;
 pub mod harness;
 pub mod platform;
 pub mod server;
--- a/xtask/src/ci.rs
+++ b/xtask/src/ci.rs
@@ -1,6 +1,7 @@
 //! `cargo xtask ci`: every check, from the cheapest to the most expensive.
 
 use crate::{
+    known_red,
     steps::{StepError, cargo},
     style,
 };
@@ -11,10 +12,13 @@
     check_style()?;
     cargo(&["clippy", "--locked", "--workspace", "--all-targets", "--", "-D", "warnings"], &[])?;
     cargo(&["doc", "--locked", "--workspace", "--no-deps"], &[("RUSTDOCFLAGS", "-D warnings")])?;
-    cargo(&["test", "--locked", "--workspace"], &[])?;
+    let known_red = known_red::read()?;
+    let skip_args = known_red::skip_args(&known_red);
+    cargo(&[&["test", "--locked", "--workspace"], skip_args.as_slice()].concat(), &[])?;
     // Tests that disable mechanisms need the feature `ablation`. This build leaves out the daemons, which must not have
     // it.
-    cargo(&["test", "--locked", "--package", "fuchsiabay-prove", "--features", "ablation"], &[])
+    let ablation = ["test", "--locked", "--package", "fuchsiabay-prove", "--features", "ablation"];
+    cargo(&[&ablation, skip_args.as_slice()].concat(), &[])
 }
 
 fn check_style() -> Result<(), StepError> {
--- a/xtask/src/main.rs
+++ b/xtask/src/main.rs
@@ -5,6 +5,7 @@
 mod ci;
 mod cluster;
 mod demo;
+mod known_red;
 mod process;
 mod prove;
 mod steps;
