Quarantine the parts of prompts that crash servers

Callers saw: every stream of a group stop for 4 s, again and again, because requests with one part in their prompts crashed one rank after the other.

Cause: crashes were counted by a fingerprint of the whole request. No two of these requests are alike, so no count reached the threshold of 3.

CrashLedger counts a crash under everything that the unfinished requests have in common with others: each shared part of the prompt, and the whole request. A lost connection counts only if the server does not respond again within 0.7 s, so that a rank whose group was cut off does not count. What servers survived three times in the last 30 to 60 s is not suspect. The fewest suspects that explain the crashes are quarantined, the more specific one first, so that sound requests with the same key or first part are served. Three crashes at one moment do not identify a cause, as when a rack fails.

The unit test of the former counter is replaced: it took three crashes within 3 ms for a cause, which the failure of a rack would meet, too. The new one has them 1 s apart, checks that other requests are served and that the quarantine ends, and 15 more cover the attribution.

--- /dev/null
+++ b/crates/fuchsiabay-balancer/src/crashes/commands.rs
@@ -0,0 +1,73 @@
+//! Operations that change the ledger.
+
+use fuchsiabay_base::Timestamp;
+
+use super::{CrashLedger, Incarnation, Suspect, crash::Crash};
+
+/// The maximum number of crashes that are kept.
+const MAX_CRASHES: usize = 128;
+
+impl CrashLedger {
+    /// Records that the connection to a server was lost while it ran a request with `suspects`.
+    pub fn record_loss(&mut self, server: &Incarnation, suspects: &[Suspect], now: Timestamp) {
+        self.remove_expired(now);
+        let crash = self.crashes.entry(server.clone()).or_insert(Crash::new(now));
+        if !crash.includes(now) {
+            *crash = Crash::new(now);
+        }
+        suspects.iter().for_each(|suspect| crash.add(suspect));
+        self.limit_crashes();
+        self.verdicts.request_evaluation(now);
+    }
+
+    /// Records that a server responded to something that was sent at `sent_at`, so that an earlier loss of connections was no
+    /// crash.
+    pub fn record_response(&mut self, server: &Incarnation, sent_at: Timestamp, now: Timestamp) {
+        let Some(crash) = self.crashes.get_mut(server) else {
+            return;
+        };
+        if !crash.is_refuted && sent_at >= crash.lost_at && crash.includes(now) {
+            crash.is_refuted = true;
+            self.verdicts.request_evaluation(now);
+        }
+    }
+
+    /// Records that a server ran a request with `suspects` and did not crash.
+    pub fn record_survival(&mut self, suspects: &[Suspect], now: Timestamp) {
+        for suspect in suspects {
+            self.survivals.record(suspect.fingerprint, now);
+        }
+        let is_open = |crash: &Crash| suspects.iter().any(|suspect| crash.is_suspect(&suspect.fingerprint));
+        if self.crashes.values().any(is_open) {
+            self.verdicts.request_evaluation(now);
+        }
+    }
+
+    /// Clears the suspects that servers survived, and determines again what is quarantined if that may have changed.
+    pub fn advance(&mut self, now: Timestamp) {
+        if !self.verdicts.is_evaluation_due(now) {
+            return;
+        }
+        for crash in self.crashes.values_mut() {
+            for (fingerprint, suspicion) in &mut crash.suspects {
+                suspicion.is_cleared |= self.survivals.is_harmless(fingerprint, now);
+            }
+        }
+        self.verdicts = self.evaluate(now);
+    }
+
+    fn remove_expired(&mut self, now: Timestamp) {
+        self.crashes.retain(|_, crash| crash.expires_at() > now);
+    }
+
+    /// Drops refuted losses first, then the oldest crashes.
+    fn limit_crashes(&mut self) {
+        while self.crashes.len() > MAX_CRASHES {
+            let oldest = self.crashes.iter().min_by_key(|(_, crash)| (!crash.is_refuted, crash.lost_at));
+            let Some(server) = oldest.map(|(server, _)| server.clone()) else {
+                return;
+            };
+            self.crashes.remove(&server);
+        }
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-balancer/src/crashes/crash.rs
@@ -0,0 +1,73 @@
+//! One crash of a server.
+
+use std::collections::BTreeMap;
+
+use fuchsiabay_base::{Fingerprint, Timestamp};
+
+use super::Suspect;
+
+/// The time after the loss of its connections in which a server that responds is known not to have crashed, in
+/// milliseconds. Later, another process may respond.
+pub(super) const REFUTABLE_MS: u64 = 3_000;
+
+/// The time for which a server must not have responded before the loss of its connections counts as a crash, in
+/// milliseconds. The ranks of a closed group are checked within this time.
+const CONFIRMATION_MS: u64 = 700;
+
+/// The time for which a crash counts, in milliseconds.
+const EXPIRY_MS: u64 = 300_000;
+
+/// The maximum number of suspects of one crash. A server runs some dozen requests at a time.
+const MAX_SUSPECTS: usize = 128;
+
+/// Why something is suspect.
+#[derive(Clone, Copy, Debug)]
+pub(super) struct Suspicion {
+    /// See [`Suspect::depth`].
+    pub(super) depth: u8,
+    /// Whether servers survived it.
+    pub(super) is_cleared: bool,
+}
+
+/// The loss of the connections to a server, and what its unfinished requests had in common with others.
+#[derive(Clone, Debug)]
+pub(super) struct Crash {
+    /// When the first connection was lost.
+    pub(super) lost_at: Timestamp,
+    /// Whether the server responded afterwards, so that it did not crash.
+    pub(super) is_refuted: bool,
+    pub(super) suspects: BTreeMap<Fingerprint, Suspicion>,
+}
+
+impl Crash {
+    pub(super) const fn new(lost_at: Timestamp) -> Self {
+        Self { lost_at, is_refuted: false, suspects: BTreeMap::new() }
+    }
+
+    pub(super) fn add(&mut self, suspect: &Suspect) {
+        if self.suspects.len() < MAX_SUSPECTS {
+            let new = Suspicion { depth: suspect.depth, is_cleared: false };
+            self.suspects.entry(suspect.fingerprint).or_insert(new);
+        }
+    }
+
+    /// Returns whether a connection lost at `lost_at` belongs to this loss.
+    pub(super) fn includes(&self, lost_at: Timestamp) -> bool {
+        lost_at.millis_since(self.lost_at) <= REFUTABLE_MS
+            && self.lost_at.millis_since(lost_at) <= REFUTABLE_MS
+    }
+
+    /// Returns the time from which the loss counts as a crash.
+    pub(super) const fn confirmed_at(&self) -> Timestamp {
+        self.lost_at.plus_millis(CONFIRMATION_MS)
+    }
+
+    pub(super) const fn expires_at(&self) -> Timestamp {
+        self.lost_at.plus_millis(EXPIRY_MS)
+    }
+
+    /// Returns whether `fingerprint` may have caused the crash.
+    pub(super) fn is_suspect(&self, fingerprint: &Fingerprint) -> bool {
+        self.suspects.get(fingerprint).is_some_and(|suspicion| !suspicion.is_cleared)
+    }
+}
--- /dev/null
+++ b/crates/fuchsiabay-balancer/src/crashes/mod.rs
@@ -0,0 +1,28 @@
+//! Detection of requests, and of parts of their prompts, that crash the servers that run them.
+//!
+//! A loss of connections to a server counts as its crash unless the server responds again. Everything that its unfinished
+//! requests have in common with those of earlier crashes is suspect: each shared part of a prompt, and the request as a
+//! whole. What other requests survived is not suspect. The fewest suspects that explain the crashes are quarantined.
+
+mod commands;
+mod crash;
+mod incarnation;
+mod queries;
+mod survivals;
+mod suspect;
+
+use std::collections::BTreeMap;
+
+use self::{crash::Crash, queries::Verdicts, survivals::Survivals};
+
+pub use incarnation::Incarnation;
+pub use queries::Quarantine;
+pub use suspect::Suspect;
+
+/// The crashes of backend servers and what the requests that ran on them have in common.
+#[derive(Clone, Debug, Default)]
+pub struct CrashLedger {
+    crashes: BTreeMap<Incarnation, Crash>,
+    survivals: Survivals,
+    verdicts: Verdicts,
+}
--- a/crates/fuchsiabay-balancer/src/lib.rs
+++ b/crates/fuchsiabay-balancer/src/lib.rs
@@ -9,7 +9,7 @@
 //! confirmed to be current is read from the store.
 
 mod config;
-mod crash_tracker;
+mod crashes;
 mod directory;
 mod engine_profile;
 mod group_survey;
@@ -25,7 +25,7 @@
 mod workspace;
 
 pub use config::ServingConfig;
-pub use crash_tracker::CrashTracker;
+pub use crashes::{CrashLedger, Incarnation, Quarantine, Suspect};
 pub use directory::{Directory, DirectoryEntry, ServerChange};
 pub use engine_profile::EngineProfile;
 pub use group_survey::{GroupReport, GroupSurvey};
--- /dev/null
+++ b/crates/fuchsiabay-balancer/tests/crashes.rs
@@ -0,0 +1,218 @@
+//! Which requests are refused because they, or parts of their prompts, crash servers.
+
+use fuchsiabay_balancer::{CrashLedger, Incarnation, Suspect};
+use fuchsiabay_base::{InstanceId, ServiceName, Timestamp};
+use quickcheck::{TestResult, quickcheck};
+
+/// The time after which a loss of connections counts as a crash if the server stays silent, with a margin.
+const CONFIRMED_MS: u64 = 1_000;
+
+/// The largest number of crashes of a case, and of sound requests that each of them hits.
+const MAX_CRASHES: usize = 12;
+const MAX_BYSTANDERS: usize = 12;
+
+fn at(ms: u64) -> Timestamp {
+    Timestamp::from_millis(1_000_000 + ms)
+}
+
+fn server(n: u64) -> Incarnation {
+    Incarnation { server: InstanceId::new(format!("i-{n}")), started_at_ms: n }
+}
+
+/// Returns the suspects of a request with the prompt `parts`, without their sizes, and the body `body`.
+fn suspects(parts: &str, body: &str) -> Vec<Suspect> {
+    let service = ServiceName::new("s");
+    let mut suspects = vec![Suspect::request(&service, &[b"w", body.as_bytes()])];
+    suspects.extend(Suspect::prompt_parts(&service, parts));
+    suspects
+}
+
+fn is_refused(ledger: &mut CrashLedger, suspects: &[Suspect], ms: u64) -> bool {
+    ledger.advance(at(ms));
+    ledger.quarantine(suspects, at(ms)).is_some()
+}
+
+/// What happens to a server while it runs a request.
+#[derive(Clone, Copy)]
+enum Event {
+    /// Server `.0` loses its connections at `.1` ms and stays silent. It ran a request with the prompt `.2`.
+    Crash(u64, u64, &'static str),
+    /// The same, but the server responds 100 ms later.
+    Reset(u64, u64, &'static str),
+    /// A request with the prompt `.1` is complete at `.0` ms.
+    Survival(u64, &'static str),
+}
+
+fn ledger_after(events: &[Event]) -> CrashLedger {
+    let mut ledger = CrashLedger::default();
+    for (n, event) in events.iter().enumerate() {
+        let body = format!("body{n}");
+        match *event {
+            Event::Crash(id, ms, parts) => ledger.record_loss(&server(id), &suspects(parts, &body), at(ms)),
+            Event::Reset(id, ms, parts) => {
+                ledger.record_loss(&server(id), &suspects(parts, &body), at(ms));
+                ledger.record_response(&server(id), at(ms + 50), at(ms + 100));
+            }
+            Event::Survival(ms, parts) => ledger.record_survival(&suspects(parts, &body), at(ms)),
+        }
+    }
+    ledger
+}
+
+/// Checks which of the prompts are refused 30 s after the first event.
+fn check(events: &[Event], refused: &[&str], served: &[&str]) {
+    let mut ledger = ledger_after(events);
+    for parts in refused {
+        assert!(is_refused(&mut ledger, &suspects(parts, "new"), 30_000), "{parts} is not refused");
+    }
+    for parts in served {
+        assert!(!is_refused(&mut ledger, &suspects(parts, "new"), 30_000), "{parts} is refused");
+    }
+}
+
+macro_rules! cases {
+    ($($(#[$doc:meta])* $name:ident($events:expr, refused: $refused:expr, served: $served:expr);)*) => {
+        $(
+            $(#[$doc])*
+            #[test]
+            fn $name() {
+                check(&$events, &$refused, &$served);
+            }
+        )*
+    };
+}
+
+use Event::{Crash, Reset, Survival};
+
+cases! {
+    /// Guards against a bad part that is never found because no two requests with it are alike.
+    part_with_three_crashes_is_refused(
+        [Crash(1, 0, "a,bad,o1"), Crash(2, 4_000, "b,bad,o2"), Crash(3, 8_000, "c,bad,o3")],
+        refused: ["a,bad,o4", "d,bad,o5"], served: ["a,o6", "b,other,o7", "a,b,bad"]
+    );
+    /// Guards against the refusal of sound requests that share the first part with the bad ones.
+    deepest_of_two_parts_with_the_same_crashes_is_refused(
+        [Crash(1, 0, "a,bad,o1"), Crash(2, 4_000, "a,bad,o2"), Crash(3, 8_000, "a,bad,o3")],
+        refused: ["a,bad,o4", "b,bad,o5"], served: ["a,o6", "a,other,o7"]
+    );
+    /// Guards against a quarantine of one deeper part after the other while the part above them is the bad one.
+    part_above_many_others_is_refused(
+        [Crash(1, 0, "bad,a,o1"), Crash(2, 4_000, "bad,b,o2"), Crash(3, 8_000, "bad,c,o3")],
+        refused: ["bad,d,o4"], served: ["e,a,o5", "e,b,o6"]
+    );
+    two_crashes_do_not_identify_the_cause(
+        [Crash(1, 0, "a,bad,o1"), Crash(2, 4_000, "b,bad,o2")],
+        refused: [], served: ["a,bad,o3", "b,o4"]
+    );
+    /// Guards against repeated reports of one crash that count as several.
+    crash_of_one_server_counts_once(
+        [Crash(1, 0, "a,o1"), Crash(1, 1_100, "a,o2"), Crash(1, 2_000, "a,o3")],
+        refused: [], served: ["a,o4"]
+    );
+    /// Guards against the refusal of popular parts after the servers of a rack failed together.
+    crashes_at_one_moment_do_not_identify_the_cause(
+        [Crash(1, 0, "a,o1"), Crash(2, 10, "a,o2"), Crash(3, 20, "a,o3"), Crash(4, 30, "a,o4")],
+        refused: [], served: ["a,o5"]
+    );
+    /// Guards against the refusal of popular parts after unrelated crashes.
+    part_that_servers_survived_before_is_served(
+        [
+            Survival(0, "a,o1"), Survival(1, "a,o2"), Survival(2, "a,o3"),
+            Crash(1, 1_000, "a,o4"), Crash(2, 5_000, "a,o5"), Crash(3, 9_000, "a,o6"),
+        ],
+        refused: [], served: ["a,o7"]
+    );
+    /// Guards against a part that is refused for minutes although servers survive it.
+    part_that_servers_survive_afterwards_is_served(
+        [
+            Crash(1, 0, "a,o1"), Crash(2, 4_000, "a,o2"), Crash(3, 8_000, "a,o3"),
+            Survival(9_000, "a,o4"), Survival(9_001, "a,o5"), Survival(9_002, "a,o6"),
+        ],
+        refused: [], served: ["a,o7"]
+    );
+    /// Guards against one survival that was measured wrongly, for example by an instance that was paused.
+    one_survival_does_not_clear_a_part(
+        [Survival(0, "x,bad,o0"), Crash(1, 1, "a,bad,o1"), Crash(2, 4_000, "b,bad,o2"), Crash(3, 8_000, "c,bad,o3")],
+        refused: ["a,bad,o4"], served: ["a,o5"]
+    );
+    /// Guards against a part that has become harmful, for example with other weights.
+    survivals_expire(
+        [
+            Survival(0, "a,bad,o1"), Survival(1, "a,bad,o2"), Survival(2, "a,bad,o3"), Survival(0, "a,o0"),
+            Crash(1, 61_000, "b,bad,o4"), Crash(2, 65_000, "c,bad,o5"), Crash(3, 69_000, "d,bad,o6"),
+        ],
+        refused: [], served: ["a,o7"]
+    );
+    /// Guards against servers that only reset connections, or whose group was cut off because of another rank.
+    server_that_responds_again_did_not_crash(
+        [Reset(1, 0, "a,o1"), Reset(2, 4_000, "a,o2"), Reset(3, 8_000, "a,o3")],
+        refused: [], served: ["a,o4"]
+    );
+    last_part_is_not_suspect(
+        [Crash(1, 0, "a,own"), Crash(2, 4_000, "b,own"), Crash(3, 8_000, "c,own")],
+        refused: [], served: ["d,own", "a,o1"]
+    );
+    /// Guards against a second bad part that hides behind the first one.
+    two_bad_parts_are_refused(
+        [
+            Crash(1, 0, "a,bad,o1"), Crash(2, 2_000, "a,worse,o2"), Crash(3, 4_000, "a,bad,o3"),
+            Crash(4, 6_000, "b,worse,o4"), Crash(5, 8_000, "b,bad,o5"), Crash(6, 10_000, "c,worse,o6"),
+            Survival(11_000, "a,s1"), Survival(11_000, "a,s2"), Survival(11_000, "a,s3"),
+        ],
+        refused: ["d,bad,o7", "d,worse,o8"], served: ["a,o9", "b,o10", "c,o11"]
+    );
+}
+
+/// Guards against a part that has become harmful and is not refused because servers survived it long ago.
+#[test]
+fn part_that_became_harmful_is_refused() {
+    let mut ledger = CrashLedger::default();
+    (0..3).for_each(|ms| ledger.record_survival(&suspects("a,bad,o", "b"), at(ms)));
+    for (n, ms) in [61_000, 65_000, 69_000].into_iter().enumerate() {
+        ledger.record_loss(&server(n as u64), &suspects("a,bad,o", &format!("b{n}")), at(ms));
+    }
+    assert!(is_refused(&mut ledger, &suspects("c,bad,o", "new"), 70_000));
+}
+
+/// Guards against a request that crashes one server after the other, and against refusing it forever.
+#[test]
+fn crashing_request_is_quarantined_for_a_while() {
+    let mut ledger = CrashLedger::default();
+    let request = suspects("", "body");
+    for crash in 0..3 {
+        assert!(!is_refused(&mut ledger, &request, crash * 1_000), "{crash} crashes");
+        ledger.record_loss(&server(crash), &request, at(crash * 1_000));
+    }
+    assert!(is_refused(&mut ledger, &request, 2_000 + CONFIRMED_MS));
+    assert!(!is_refused(&mut ledger, &suspects("", "other"), 2_000 + CONFIRMED_MS));
+    assert!(is_refused(&mut ledger, &request, 200_000));
+    assert!(!is_refused(&mut ledger, &request, 400_000));
+}
+
+quickcheck! {
+    /// Guards against a bad part that stays unknown beside other traffic, and against the refusal of sound requests with the
+    /// same first parts. Each crash also hits sound requests that have just begun.
+    fn bad_part_is_found_among_sound_requests(crashes: Vec<Vec<u8>>, survivals: Vec<u8>) -> TestResult {
+        if crashes.len() < 5 {
+            return TestResult::discard();
+        }
+        let crashes = &crashes[..crashes.len().min(MAX_CRASHES)];
+        let mut ledger = CrashLedger::default();
+        let sound = |first: u8| suspects(&format!("f{},own", first % 8), &format!("sound{first}"));
+        // Every first part is in steady use before the crashes.
+        (0..8).for_each(|first| (0..3).for_each(|ms| ledger.record_survival(&sound(first), at(ms))));
+        for (n, bystanders) in crashes.iter().enumerate() {
+            let ms = 100 + 4_000 * n as u64;
+            for first in bystanders.iter().take(MAX_BYSTANDERS) {
+                ledger.record_loss(&server(n as u64), &sound(*first), at(ms));
+            }
+            let bad = suspects(&format!("f{},bad,own{n}", n % 8), &format!("bad{n}"));
+            ledger.record_loss(&server(n as u64), &bad, at(ms));
+            survivals.iter().for_each(|first| ledger.record_survival(&sound(*first), at(ms + 10)));
+        }
+        let end = 100 + 4_000 * crashes.len() as u64;
+        let is_found = is_refused(&mut ledger, &suspects("f1,bad,new", "new"), end);
+        let are_served = (0..8).all(|first| !is_refused(&mut ledger, &suspects(&format!("f{first},own"), "new"), end));
+        TestResult::from_bool(is_found && are_served)
+    }
+}
--- a/crates/fuchsiabay-balancer/tests/retries.rs
+++ b/crates/fuchsiabay-balancer/tests/retries.rs
@@ -1,7 +1,7 @@
-//! The retry budget, and the refusal of requests that crash servers.
+//! The retry budget.
 
-use fuchsiabay_balancer::{CrashTracker, RetryBudget, RetryLimits};
-use fuchsiabay_base::{Fingerprint, Timestamp};
+use fuchsiabay_balancer::{RetryBudget, RetryLimits};
+use fuchsiabay_base::Timestamp;
 use quickcheck::quickcheck;
 
 const LIMITS: RetryLimits = RetryLimits { ratio: 0.2, slack: 90, window_ms: 10_000 };
@@ -32,20 +32,3 @@
         })
     }
 }
-
-/// Guards against a request that crashes one server after another, and against refusing it forever.
-#[test]
-fn crashing_request_is_quarantined_for_a_while() {
-    let mut tracker = CrashTracker::default();
-    let request = Fingerprint::of(&[b"w", b"body"]);
-    let at = |ms: u64| Timestamp::from_millis(1_000_000 + ms);
-    for crash in 0..3 {
-        assert!(!tracker.is_quarantined(&request, at(crash)), "{crash} crashes");
-        tracker.record_crash(request, at(crash));
-    }
-    assert!(tracker.is_quarantined(&request, at(10)));
-    assert!(!tracker.is_quarantined(&Fingerprint::of(&[b"w", b"other"]), at(10)));
-    assert!(!tracker.is_quarantined(&request, at(60_000)));
-    tracker.clear(&request);
-    assert!(!tracker.is_quarantined(&request, at(10)));
-}
--- a/crates/fuchsiabay-gateway/src/backend/failure.rs
+++ b/crates/fuchsiabay-gateway/src/backend/failure.rs
@@ -66,6 +66,11 @@
 }
 
 impl FailureKind {
+    /// Returns whether the server itself responded.
+    pub(crate) const fn is_response(self) -> bool {
+        matches!(self, Self::Full | Self::Unavailable)
+    }
+
     /// Returns the name used in logs and metric labels.
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -9,7 +9,8 @@
 };
 
 use fuchsiabay_balancer::{
-    CallerLimits, ConfigSlot, Directory, DirectoryMark, Freshness, IndexedConfig, Neighbours, SharedState,
+    CallerLimits, ConfigSlot, CrashLedger, Directory, DirectoryMark, Freshness, IndexedConfig, Neighbours,
+    SharedState,
 };
 use fuchsiabay_base::{InstanceId, ServiceName, Timestamp};
 use fuchsiabay_runtime::{OpsSource, monotonic_now};
@@ -41,6 +42,7 @@
     coordinator_lease: CoordinatorLease,
     longest_deadlines: LongestDeadlines,
     neighbours: Mutex<Neighbours>,
+    crashes: Mutex<CrashLedger>,
     /// On the clock of [`boot_now`], because data becomes stale while the instance is suspended, too.
     freshness: Mutex<Freshness>,
     /// Identifies this process's directory to neighbours.
@@ -66,6 +68,7 @@
             coordinator_lease: CoordinatorLease::default(),
             longest_deadlines: LongestDeadlines::default(),
             neighbours,
+            crashes: Mutex::default(),
             freshness: Mutex::default(),
             directory_source: fastrand::u64(..),
             open_connections: AtomicUsize::new(0),
@@ -177,6 +180,13 @@
         &self.longest_deadlines
     }
 
+    /// Returns the crashes of servers, brought up to date.
+    pub(crate) fn crashes(&self) -> MutexGuard<'_, CrashLedger> {
+        let mut crashes = self.crashes.lock();
+        crashes.advance(monotonic_now());
+        crashes
+    }
+
     pub(crate) fn neighbours(&self) -> MutexGuard<'_, Neighbours> {
         self.neighbours.lock()
     }
@@ -289,6 +299,7 @@
             "connections": self.open_connections.load(Ordering::Relaxed),
             "running_requests": self.running_requests(),
             "pools": pools,
+            "quarantines": self.crashes().quarantines(monotonic_now()),
         })
     }
 
--- a/crates/fuchsiabay-gateway/src/groups/group_check.rs
+++ b/crates/fuchsiabay-gateway/src/groups/group_check.rs
@@ -63,8 +63,12 @@
     let ids: Vec<InstanceId> = servers.iter().map(|server| server.id.clone()).collect();
     let queried = survey.groups.next_queries(&ids);
     let asked: Vec<_> = queried.iter().map(|i| servers[*i].clone()).collect();
+    let asked_at = monotonic_now();
     let states = read_states(engines, &asked).await;
     let now = monotonic_now();
+    for (server, ..) in &states {
+        gateway.crashes().record_response(&server.as_ref().into(), asked_at, now);
+    }
     for server in &asked {
         let state = states.iter().find(|(known, ..)| known.id == server.id);
         let report = state.map(|(_, group, state)| GroupReport {
--- a/crates/fuchsiabay-gateway/src/request/buffered.rs
+++ b/crates/fuchsiabay-gateway/src/request/buffered.rs
@@ -59,12 +59,12 @@
             slot.set_outcome(failure.outcome());
             // The connection is closed first, so that the server stops sending.
             drop((slot, attempt));
-            forwarder.handle_failure(&server.id, failure).map_err(Some)?;
+            forwarder.handle_failure(&server, failure).map_err(Some)?;
             return Err(None);
         }
     };
     let status = attempt.response.head.status;
-    forwarder.record_response(&mut slot, status);
+    forwarder.record_response(&mut slot, &attempt.response.head);
     drop(slot);
     let head = attempt.response.head.clone();
     if attempt.is_reusable() {
--- a/crates/fuchsiabay-gateway/src/request/forwarder.rs
+++ b/crates/fuchsiabay-gateway/src/request/forwarder.rs
@@ -1,6 +1,8 @@
 //! Forwards one request: acquires a slot at a server for each attempt and decides after each failure whether to retry.
 
-use fuchsiabay_balancer::{Outcome, RouteKind};
+use std::sync::Arc;
+
+use fuchsiabay_balancer::{Outcome, RouteKind, ServerRecord};
 use fuchsiabay_base::{InstanceId, Timestamp, Verdict};
 use fuchsiabay_runtime::{monotonic_now, sleep_until};
 use futures_lite::FutureExt;
@@ -9,7 +11,7 @@
 use crate::{
     backend::{Attempt, Failure, FailureKind, OutgoingRequest},
     caller::{Interrupt, LocalResponse, until_interrupted},
-    http::BufferedSocket,
+    http::{BufferedSocket, Framing, ResponseHead},
     request_metrics,
     shard::{AcquireResult, SlotGuard},
 };
@@ -32,6 +34,10 @@
 /// The interval at which a waiting request checks whether its server has stalled, in milliseconds.
 const STALL_POLL_INTERVAL_MS: u64 = 250;
 
+/// The time from the first event of a response after which its request is known not to crash the server, in milliseconds. It
+/// is shorter than the time for which a group stalls before it cuts off its streams because another rank has crashed.
+const SURVIVAL_MS: u64 = 1_000;
+
 /// The minimum time before the deadline for another attempt, in milliseconds.
 const MIN_ATTEMPT_MS: u64 = 20;
 
@@ -54,6 +60,8 @@
     unavailable_attempts: u32,
     /// Whether the retry that moves the request from a slow server was taken from the budget.
     has_taken_retry: bool,
+    /// When the current attempt received its first events.
+    first_event_at: Option<Timestamp>,
 }
 
 impl<'a> Forwarder<'a> {
@@ -70,6 +78,7 @@
             waited_ms: 0,
             unavailable_attempts: 0,
             has_taken_retry: false,
+            first_event_at: None,
         }
     }
 
@@ -88,7 +97,7 @@
                 Err(failure) => {
                     slot.set_outcome(failure.outcome());
                     self.report_to_shard(&slot.grant.server.id, failure.kind);
-                    let server = slot.grant.server.id.clone();
+                    let server = slot.grant.server.clone();
                     drop(slot);
                     self.handle_failure(&server, failure)?;
                 }
@@ -99,35 +108,30 @@
     /// Records a failed attempt. Returns Ok if the request may be retried, otherwise its outcome.
     pub(super) fn handle_failure(
         &mut self,
-        server: &InstanceId,
+        server: &Arc<ServerRecord>,
         failure: Failure,
     ) -> Result<(), RequestOutcome> {
         let now = monotonic_now();
         self.verdict = self.verdict.max(failure.verdict);
         request_metrics::count_failed_attempt(failure);
         if failure.kind == FailureKind::ConnectionLost {
-            let crashes = self.request.shard.record_crash(self.request.fingerprint, now);
-            log::info!(
-                request = self.request.request_id, server = server.as_str(), crashes,
-                fingerprint:% = self.request.fingerprint, prompt_parts = self.request.prompt_parts();
-                "crash: counted"
-            );
+            self.record_lost_connection(server, now);
         }
         match failure.kind {
             FailureKind::Connect => {
-                self.tried.retain(|tried| tried != server);
-                self.unreachable.push(server.clone());
+                self.tried.retain(|tried| *tried != server.id);
+                self.unreachable.push(server.id.clone());
             }
             // The server reported that it cannot run the request now, so this does not count as an attempt.
             FailureKind::Unavailable | FailureKind::Misdirected => {
-                self.tried.retain(|tried| tried != server);
+                self.tried.retain(|tried| *tried != server.id);
                 self.unavailable_attempts += 1;
             }
             _ => {}
         }
         let allowed = self.may_retry(failure, now);
         log::info!(
-            request = self.request.request_id, server = server.as_str(), failure = failure.kind.as_str(),
+            request = self.request.request_id, server = server.id.as_str(), failure = failure.kind.as_str(),
             verdict = self.verdict.as_str(), attempts = self.tried.len(), retry = allowed,
             left_ms = self.request.deadline.millis_since(now);
             "attempt: failed"
@@ -141,10 +145,41 @@
     }
 
     /// Records that a server sent a complete response.
-    pub(super) fn record_response(&mut self, slot: &mut SlotGuard, status: u16) {
+    pub(super) fn record_response(&mut self, slot: &mut SlotGuard, head: &ResponseHead) {
         self.verdict = Verdict::Ran;
-        slot.set_outcome(if status >= 500 { Outcome::Failure } else { Outcome::Success });
-        self.request.shard.clear_crashes(&self.request.fingerprint);
+        slot.set_outcome(if head.status >= 500 { Outcome::Failure } else { Outcome::Success });
+        // A response without a length also ends if its server crashes.
+        let is_known_complete = head.framing != Framing::UntilClose;
+        let now = monotonic_now();
+        if head.is_success() && (is_known_complete || self.has_run_long(now)) {
+            self.request.gateway.crashes().record_survival(&self.request.suspects, now);
+        }
+    }
+
+    /// Records that the current attempt received events.
+    pub(super) fn record_events(&mut self, now: Timestamp) {
+        self.first_event_at.get_or_insert(now);
+    }
+
+    /// Records that the connection was lost before the response was complete. If the response had just begun, or not yet, the
+    /// request may have crashed the server.
+    fn record_lost_connection(&self, server: &Arc<ServerRecord>, now: Timestamp) {
+        let suspects = &self.request.suspects;
+        if self.has_run_long(now) {
+            self.request.gateway.crashes().record_survival(suspects, now);
+            return;
+        }
+        self.request.gateway.crashes().record_loss(&server.as_ref().into(), suspects, now);
+        log::info!(
+            request = self.request.request_id, server = server.id.as_str(),
+            prompt_parts = self.request.prompt_parts();
+            "crash: suspected"
+        );
+    }
+
+    /// Returns whether the current attempt received its first events so long ago that the request does not crash servers.
+    fn has_run_long(&self, now: Timestamp) -> bool {
+        self.first_event_at.is_some_and(|at| now.millis_since(at) >= SURVIVAL_MS)
     }
 
     /// Returns the outcome of a request that was interrupted before its response was complete.
@@ -180,9 +215,7 @@
     async fn acquire_slot(&mut self, socket: &mut BufferedSocket) -> Result<SlotGuard, RequestOutcome> {
         let since = monotonic_now();
         let shard = &self.request.shard;
-        if shard.is_quarantined(&self.request.fingerprint, since) {
-            return Err(self.refusal_outcome("crashes_servers", UNAVAILABLE_RETRY_MS));
-        }
+        self.check_quarantine(since)?;
         let excluded: Vec<InstanceId> = self.tried.iter().chain(&self.unreachable).cloned().collect();
         let slot = match shard.acquire(self.request.job(&excluded, self.is_resumption)) {
             AcquireResult::Slot(slot) => slot,
@@ -215,6 +248,20 @@
         Ok(slot)
     }
 
+    /// Refuses the request if it is known to crash servers.
+    fn check_quarantine(&self, now: Timestamp) -> Result<(), RequestOutcome> {
+        let Some(quarantine) = self.request.gateway.crashes().quarantine(&self.request.suspects, now) else {
+            return Ok(());
+        };
+        metrics::counter!("fuchsiabay_quarantined_requests_total").increment(1);
+        log::info!(
+            request = self.request.request_id, fingerprint:% = quarantine.fingerprint, crashes = quarantine.crashes,
+            prompt_parts = self.request.prompt_parts(), left_ms = quarantine.until.millis_since(now);
+            "crash: request refused"
+        );
+        Err(self.refusal_outcome("crashes_servers", quarantine.until.millis_since(now)))
+    }
+
     /// Sends the request to the server of `slot`. The outer error ends the request, the inner one only this attempt.
     async fn send_attempt(
         &mut self,
@@ -228,6 +275,8 @@
         let request = self.request;
         let server = &slot.grant.server;
         self.tried.push(server.id.clone());
+        self.first_event_at = None;
+        let sent_at = monotonic_now();
         let previous_verdict = self.verdict;
         let slow_at = self.slow_at();
         let this = &*self;
@@ -257,6 +306,11 @@
         if let Ok(attempt) = &result {
             record_load(request, &server.id, attempt);
         }
+        let has_responded = result.as_ref().map_or_else(|failure| failure.kind.is_response(), |_| true);
+        if has_responded {
+            let now = monotonic_now();
+            request.gateway.crashes().record_response(&server.as_ref().into(), sent_at, now);
+        }
         Ok(result)
     }
 
--- a/crates/fuchsiabay-gateway/src/request/routed_request.rs
+++ b/crates/fuchsiabay-gateway/src/request/routed_request.rs
@@ -2,8 +2,8 @@
 
 use std::sync::Arc;
 
-use fuchsiabay_balancer::{IndexedConfig, Job, KeyCheck, Route, RouteKind, Workspace};
-use fuchsiabay_base::{Fingerprint, InstanceId, Timestamp};
+use fuchsiabay_balancer::{IndexedConfig, Job, KeyCheck, Route, RouteKind, Suspect, Workspace};
+use fuchsiabay_base::{InstanceId, Timestamp};
 use fuchsiabay_runtime::monotonic_now;
 
 use super::{request_id, stated_deadline_ms};
@@ -37,7 +37,8 @@
     pub(super) route: Arc<Route>,
     workspace: Option<Arc<Workspace>>,
     pub(super) shard: Arc<ServiceShard>,
-    pub(super) fingerprint: Fingerprint,
+    /// What the request has in common with others and may crash servers.
+    pub(super) suspects: Vec<Suspect>,
     tokens: u64,
     /// The time that the caller spent on earlier attempts, as inferred from its stated deadline, in milliseconds.
     spent_ms: u64,
@@ -73,8 +74,9 @@
         let deadline = arrived.plus_millis(stated_ms.min(route.timeout_ms));
         let spent_ms = gateway.longest_deadlines().elapsed_since_first_attempt_ms(&route.name, stated_ms);
         let name = workspace.as_ref().map_or("", |workspace| workspace.name.as_str());
-        let parts = [name.as_bytes(), head.method.as_bytes(), head.target.as_bytes(), body];
-        let fingerprint = Fingerprint::of(&parts);
+        let whole = [name.as_bytes(), head.method.as_bytes(), head.target.as_bytes(), body];
+        let mut suspects = vec![Suspect::request(service, &whole)];
+        suspects.extend(Suspect::prompt_parts(service, prompt_parts(gateway, head)));
         let tokens = expected_tokens(gateway, head);
         let request_id = request_id(gateway, head);
         Ok(Self {
@@ -87,7 +89,7 @@
             route,
             workspace,
             shard,
-            fingerprint,
+            suspects,
             tokens,
             spent_ms,
         })
@@ -136,7 +138,7 @@
 
     /// Returns the parts of the prompt as the caller stated them.
     pub(super) fn prompt_parts(&self) -> &str {
-        self.head.headers.get(self.gateway.settings.header_names.prompt_parts).unwrap_or_default()
+        prompt_parts(self.gateway, self.head)
     }
 
     fn priority(&self) -> u8 {
@@ -149,6 +151,10 @@
     scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
 }
 
+fn prompt_parts<'a>(gateway: &Gateway, head: &'a RequestHead) -> &'a str {
+    head.headers.get(gateway.settings.header_names.prompt_parts).unwrap_or_default()
+}
+
 /// Returns the expected number of tokens of the request: its prompt and the output that it is likely to generate.
 fn expected_tokens(gateway: &Gateway, head: &RequestHead) -> u64 {
     let header_names = gateway.settings.header_names;
--- a/crates/fuchsiabay-gateway/src/request/stream.rs
+++ b/crates/fuchsiabay-gateway/src/request/stream.rs
@@ -48,6 +48,9 @@
         let segment =
             until_interrupted(socket, request.deadline, relay.relay_segment(request, &mut attempt)).await;
         forwarder.is_resumption = relay.head_written;
+        if let Some(at) = relay.segment_event_at.take() {
+            forwarder.record_events(at);
+        }
         let segment = match segment {
             Ok(segment) => segment,
             Err(interrupt) => return forwarder.interrupted_outcome(interrupt),
@@ -55,7 +58,7 @@
         match segment {
             SegmentEnd::CallerGone => return RequestOutcome::CallerGone,
             SegmentEnd::Complete => {
-                forwarder.record_response(&mut slot, attempt.response.head.status);
+                forwarder.record_response(&mut slot, &attempt.response.head);
                 release_connection(request, &slot, attempt);
                 log::info!(
                     request = request.request_id, events = relay.splitter.forwarded(), longest_gap_ms = relay.longest_gap_ms,
@@ -87,7 +90,7 @@
             Err(None) => None,
         };
     }
-    let server = slot.grant.server.id.clone();
+    let server = slot.grant.server.clone();
     drop(slot);
     forwarder.handle_failure(&server, Failure::may_have_run(FailureKind::ServerError)).err()
 }
@@ -101,7 +104,7 @@
 ) -> Result<(), RequestOutcome> {
     let failure = Failure { kind, verdict: Verdict::Ran };
     slot.set_outcome(failure.outcome());
-    let server = slot.grant.server.id.clone();
+    let server = slot.grant.server.clone();
     drop(slot);
     forwarder.request.shard.request_group_check();
     relay.splitter.discard_partial();
@@ -128,6 +131,8 @@
     out: Vec<u8>,
     /// When events were last written to the caller.
     last_event_at: Option<Timestamp>,
+    /// When the first events of the current segment were received.
+    segment_event_at: Option<Timestamp>,
     longest_gap_ms: u64,
 }
 
@@ -139,12 +144,14 @@
             head_written: false,
             out: Vec::new(),
             last_event_at: None,
+            segment_event_at: None,
             longest_gap_ms: 0,
         }
     }
 
     fn record_gap(&mut self) {
         let now = monotonic_now();
+        self.segment_event_at.get_or_insert(now);
         let gap_ms = self.last_event_at.replace(now).map_or(0, |last| now.millis_since(last));
         self.longest_gap_ms = self.longest_gap_ms.max(gap_ms);
     }
--- a/crates/fuchsiabay-gateway/src/shard.rs
+++ b/crates/fuchsiabay-gateway/src/shard.rs
@@ -9,10 +9,10 @@
 };
 
 use fuchsiabay_balancer::{
-    Admission, CrashTracker, EngineProfile, Grant, Job, JobId, Outcome, Pool, PoolStatus, Refusal,
-    RetryBudget, RetryLimits, ServerRecord,
+    Admission, EngineProfile, Grant, Job, JobId, Outcome, Pool, PoolStatus, Refusal, RetryBudget,
+    RetryLimits, ServerRecord,
 };
-use fuchsiabay_base::{Fingerprint, InstanceId, ServiceName, Timestamp, ZoneName};
+use fuchsiabay_base::{InstanceId, ServiceName, Timestamp, ZoneName};
 use fuchsiabay_runtime::monotonic_now;
 use parking_lot::Mutex;
 use smol::channel::{Receiver, Sender};
@@ -38,7 +38,6 @@
 struct State {
     pool: Pool,
     retries: RetryBudget,
-    crashes: CrashTracker,
     waiters: HashMap<JobId, Sender<Grant>>,
 }
 
@@ -54,12 +53,8 @@
 
 impl ServiceShard {
     pub(crate) fn new(name: ServiceName, zone: ZoneName, limits: RetryLimits) -> Self {
-        let state = State {
-            pool: Pool::new(zone),
-            retries: RetryBudget::new(limits),
-            crashes: CrashTracker::default(),
-            waiters: HashMap::new(),
-        };
+        let state =
+            State { pool: Pool::new(zone), retries: RetryBudget::new(limits), waiters: HashMap::new() };
         Self { name, group_check_requested: AtomicBool::new(false), state: Mutex::new(state) }
     }
 
@@ -94,20 +89,6 @@
         self.state.lock().retries.try_take(instances, now)
     }
 
-    /// Records that a server crashed before it responded to the request. Returns the number of crashes counted so far.
-    pub(crate) fn record_crash(&self, fingerprint: Fingerprint, now: Timestamp) -> u32 {
-        self.state.lock().crashes.record_crash(fingerprint, now)
-    }
-
-    pub(crate) fn clear_crashes(&self, fingerprint: &Fingerprint) {
-        self.state.lock().crashes.clear(fingerprint);
-    }
-
-    /// Returns whether the request has crashed too many servers to be sent again.
-    pub(crate) fn is_quarantined(&self, fingerprint: &Fingerprint, now: Timestamp) -> bool {
-        self.state.lock().crashes.is_quarantined(fingerprint, now)
-    }
-
     pub(crate) fn set_instance_count(&self, instances: usize) {
         self.state.lock().pool.set_instance_count(instances);
     }
