Share the crashes of servers between the entry instances

Callers saw: one request that comes again crashed three servers at each entry instance, so four instances lost 12 servers to it, and a restarted instance began anew.

Each instance counted for itself.

Neighbours exchange the confirmed crashes with their suspects, as changes since a revision, in both directions of the calls that they make every 250 ms anyway, at most 16 crashes a message. What is merged is passed on, so that it reaches all instances of a large deployment in a few rounds. Suspects that one instance saw survive are cleared at all, and so are losses of connections that one instance knows to be no crash. In steady state the exchange grows by an empty list.

New tests: crashes at three instances add up, a restarted instance learns them, survivals at one instance clear a part at all, and instances that have told each other everything agree.

--- a/crates/fuchsiabay-balancer/src/crashes/commands.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/commands.rs
@@ -2,7 +2,7 @@
 
 use fuchsiabay_base::Timestamp;
 
-use super::{CrashLedger, Incarnation, Suspect, crash::Crash};
+use super::{CrashLedger, CrashReport, Incarnation, Suspect, crash::Crash};
 
 /// The maximum number of crashes that are kept.
 const MAX_CRASHES: usize = 128;
@@ -15,7 +15,7 @@
         if !crash.includes(now) {
             *crash = Crash::new(now);
         }
-        suspects.iter().for_each(|suspect| crash.add(suspect));
+        suspects.iter().for_each(|suspect| crash.add(suspect, false));
         self.limit_crashes();
         self.verdicts.request_evaluation(now);
     }
@@ -27,7 +27,7 @@
             return;
         };
         if !crash.is_refuted && sent_at >= crash.lost_at && crash.includes(now) {
-            crash.is_refuted = true;
+            crash.refute();
             self.verdicts.request_evaluation(now);
         }
     }
@@ -49,13 +49,37 @@
             return;
         }
         for crash in self.crashes.values_mut() {
-            for (fingerprint, suspicion) in &mut crash.suspects {
-                suspicion.is_cleared |= self.survivals.is_harmless(fingerprint, now);
+            crash.clear_harmless(|fingerprint| self.survivals.is_harmless(fingerprint, now));
+            if crash.publish(self.revision + 1, now) {
+                self.revision += 1;
             }
         }
         self.verdicts = self.evaluate(now);
     }
 
+    /// Records what another instance told of a crash.
+    pub fn merge(&mut self, report: &CrashReport, now: Timestamp) {
+        self.remove_expired(now);
+        let lost_at = now.minus_millis(report.age_ms);
+        let crash = self.crashes.entry(report.incarnation.clone()).or_insert(Crash::new(lost_at));
+        if !crash.includes(lost_at) {
+            if lost_at < crash.lost_at {
+                return;
+            }
+            *crash = Crash::new(lost_at);
+        }
+        crash.lost_at = crash.lost_at.min(lost_at);
+        for suspect in &report.suspects {
+            let known = Suspect { fingerprint: suspect.fingerprint, depth: suspect.depth };
+            crash.add(&known, suspect.is_cleared);
+        }
+        if report.is_refuted {
+            crash.refute();
+        }
+        self.limit_crashes();
+        self.verdicts.request_evaluation(now);
+    }
+
     fn remove_expired(&mut self, now: Timestamp) {
         self.crashes.retain(|_, crash| crash.expires_at() > now);
     }
--- a/crates/fuchsiabay-balancer/src/crashes/crash.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/crash.rs
@@ -1,6 +1,6 @@
 //! One crash of a server.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, btree_map::Entry};
 
 use fuchsiabay_base::{Fingerprint, Timestamp};
 
@@ -29,6 +29,13 @@
     pub(super) is_cleared: bool,
 }
 
+impl Suspicion {
+    /// Returns whether it was not cleared before.
+    fn clear(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_cleared, true)
+    }
+}
+
 /// The loss of the connections to a server, and what its unfinished requests had in common with others.
 #[derive(Clone, Debug)]
 pub(super) struct Crash {
@@ -37,18 +44,54 @@
     /// Whether the server responded afterwards, so that it did not crash.
     pub(super) is_refuted: bool,
     pub(super) suspects: BTreeMap<Fingerprint, Suspicion>,
+    /// The revision of the ledger at which what is known of the crash last changed. None while the loss is not confirmed: most
+    /// losses are refuted by then, so other instances need not know of them.
+    pub(super) revision: Option<u64>,
+    /// Whether something changed since that revision.
+    pub(super) is_changed: bool,
 }
 
 impl Crash {
     pub(super) const fn new(lost_at: Timestamp) -> Self {
-        Self { lost_at, is_refuted: false, suspects: BTreeMap::new() }
+        Self { lost_at, is_refuted: false, suspects: BTreeMap::new(), revision: None, is_changed: true }
+    }
+
+    /// Adds something that may have caused the crash. `is_cleared` states whether servers survived it.
+    pub(super) fn add(&mut self, suspect: &Suspect, is_cleared: bool) {
+        let is_full = self.suspects.len() >= MAX_SUSPECTS;
+        match self.suspects.entry(suspect.fingerprint) {
+            Entry::Occupied(mut entry) if is_cleared => self.is_changed |= entry.get_mut().clear(),
+            Entry::Vacant(entry) if !is_full => {
+                entry.insert(Suspicion { depth: suspect.depth, is_cleared });
+                self.is_changed = true;
+            }
+            _ => {}
+        }
+    }
+
+    /// Records that the server did not crash.
+    pub(super) fn refute(&mut self) {
+        self.is_changed |= !std::mem::replace(&mut self.is_refuted, true);
+    }
+
+    /// Clears the suspects that are harmless.
+    pub(super) fn clear_harmless(&mut self, is_harmless: impl Fn(&Fingerprint) -> bool) {
+        for (fingerprint, suspicion) in &mut self.suspects {
+            if !suspicion.is_cleared && is_harmless(fingerprint) {
+                self.is_changed |= suspicion.clear();
+            }
+        }
     }
 
-    pub(super) fn add(&mut self, suspect: &Suspect) {
-        if self.suspects.len() < MAX_SUSPECTS {
-            let new = Suspicion { depth: suspect.depth, is_cleared: false };
-            self.suspects.entry(suspect.fingerprint).or_insert(new);
+    /// Sets the revision if other instances must be told of the crash or of a change of it. Returns whether it did.
+    pub(super) fn publish(&mut self, revision: u64, now: Timestamp) -> bool {
+        let is_told = self.revision.is_some() || !self.is_refuted && self.confirmed_at() <= now;
+        if !is_told || !self.is_changed {
+            return false;
         }
+        self.is_changed = false;
+        self.revision = Some(revision);
+        true
     }
 
     /// Returns whether a connection lost at `lost_at` belongs to this loss.
--- a/crates/fuchsiabay-balancer/src/crashes/mod.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/mod.rs
@@ -3,11 +3,14 @@
 //! A loss of connections to a server counts as its crash unless the server responds again. Everything that its unfinished
 //! requests have in common with those of earlier crashes is suspect: each shared part of a prompt, and the request as a
 //! whole. What other requests survived is not suspect. The fewest suspects that explain the crashes are quarantined.
+//!
+//! The instances tell each other of crashes, so that each of them judges by the crashes that all have seen.
 
 mod commands;
 mod crash;
 mod incarnation;
 mod queries;
+mod report;
 mod survivals;
 mod suspect;
 
@@ -17,6 +20,7 @@
 
 pub use incarnation::Incarnation;
 pub use queries::Quarantine;
+pub use report::{CrashReport, ReportedSuspect};
 pub use suspect::Suspect;
 
 /// The crashes of backend servers and what the requests that ran on them have in common.
@@ -25,4 +29,6 @@
     crashes: BTreeMap<Incarnation, Crash>,
     survivals: Survivals,
     verdicts: Verdicts,
+    /// The revision of what is told to other instances.
+    revision: u64,
 }
--- a/crates/fuchsiabay-balancer/src/crashes/queries.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/queries.rs
@@ -5,7 +5,7 @@
 use fuchsiabay_base::{Fingerprint, Timestamp};
 use serde::Serialize;
 
-use super::{CrashLedger, Suspect, crash::Crash};
+use super::{CrashLedger, CrashReport, Suspect, crash::Crash};
 
 /// The number of crashes at which a suspect is quarantined. A crash affects every request on the server, so fewer crashes do
 /// not identify the cause.
@@ -19,6 +19,9 @@
 /// the ledger many times.
 const EVALUATION_DELAY_MS: u64 = 100;
 
+/// The maximum number of crashes in one message to another instance. The rest follows in the next ones.
+const MAX_REPORTS: usize = 16;
+
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize)]
@@ -72,6 +75,20 @@
             .copied()
     }
 
+    /// Returns what changed after the revision `since`, for another instance, and the revision up to which that is complete.
+    pub fn changes_since(&self, since: u64, now: Timestamp) -> (u64, Vec<CrashReport>) {
+        let changed = self.crashes.iter().filter_map(|(incarnation, crash)| {
+            let revision = crash.revision.filter(|revision| *revision > since && crash.expires_at() > now)?;
+            Some((revision, CrashReport::new(incarnation, crash, now)))
+        });
+        let mut changed: Vec<(u64, CrashReport)> = changed.collect();
+        changed.sort_unstable_by_key(|(revision, _)| *revision);
+        let is_complete = changed.len() <= MAX_REPORTS;
+        changed.truncate(MAX_REPORTS);
+        let last = changed.last().map(|(revision, _)| *revision).filter(|_| !is_complete);
+        (last.unwrap_or(self.revision), changed.into_iter().map(|(_, report)| report).collect())
+    }
+
     /// Returns everything that is quarantined.
     pub fn quarantines(&self, now: Timestamp) -> Vec<Quarantine> {
         self.verdicts.quarantines.values().filter(|quarantine| quarantine.until > now).copied().collect()
--- /dev/null
+++ b/crates/fuchsiabay-balancer/src/crashes/report.rs
@@ -0,0 +1,51 @@
+//! What instances tell each other about crashes.
+
+use fuchsiabay_base::{Fingerprint, Timestamp};
+use serde::{Deserialize, Serialize};
+
+use super::{Incarnation, crash::Crash};
+
+/// A crash, as told to another instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct CrashReport {
+    /// The server that crashed.
+    #[serde(flatten)]
+    pub incarnation: Incarnation,
+    /// The time since its connections were lost, in milliseconds.
+    pub age_ms: u64,
+    /// Whether it was learnt later that the server did not crash.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_refuted: bool,
+    /// What may have caused the crash.
+    pub suspects: Vec<ReportedSuspect>,
+}
+
+/// A suspect of a crash, as told to another instance.
+#[derive(Clone, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+pub struct ReportedSuspect {
+    /// See [`Suspect::fingerprint`](super::Suspect::fingerprint).
+    pub fingerprint: Fingerprint,
+    /// See [`Suspect::depth`](super::Suspect::depth).
+    pub depth: u8,
+    /// Whether servers survived it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub is_cleared: bool,
+}
+
+impl CrashReport {
+    pub(super) fn new(incarnation: &Incarnation, crash: &Crash, now: Timestamp) -> Self {
+        let suspects = crash.suspects.iter().map(|(fingerprint, suspicion)| ReportedSuspect {
+            fingerprint: *fingerprint,
+            depth: suspicion.depth,
+            is_cleared: suspicion.is_cleared,
+        });
+        Self {
+            incarnation: incarnation.clone(),
+            age_ms: now.millis_since(crash.lost_at),
+            is_refuted: crash.is_refuted,
+            suspects: suspects.collect(),
+        }
+    }
+}
--- a/crates/fuchsiabay-balancer/src/lib.rs
+++ b/crates/fuchsiabay-balancer/src/lib.rs
@@ -25,14 +25,14 @@
 mod workspace;
 
 pub use config::ServingConfig;
-pub use crashes::{CrashLedger, Incarnation, Quarantine, Suspect};
+pub use crashes::{CrashLedger, CrashReport, Incarnation, Quarantine, ReportedSuspect, Suspect};
 pub use directory::{Directory, DirectoryEntry, ServerChange};
 pub use engine_profile::EngineProfile;
 pub use group_survey::{GroupReport, GroupSurvey};
 pub use health::{Health, Outcome};
 pub use indexed_config::{ConfigSlot, IndexedConfig, KeyCheck};
 pub use limits::CallerLimits;
-pub use neighbours::{DirectoryMark, Freshness, Neighbours, SharedState, StoreReaders};
+pub use neighbours::{Freshness, Neighbours, SharedState, StateMark, StoreReaders};
 pub use pool::{Admission, Grant, Job, JobId, Pool, PoolStatus, Refusal, RefusalReason, ServerStatus};
 pub use retry_budget::{RetryBudget, RetryLimits};
 pub use route::{Route, RouteKind, Target};
--- a/crates/fuchsiabay-balancer/src/neighbours/mod.rs
+++ b/crates/fuchsiabay-balancer/src/neighbours/mod.rs
@@ -6,4 +6,4 @@
 
 pub use freshness::{Freshness, SharedState};
 pub use readers::StoreReaders;
-pub use table::{DirectoryMark, Neighbours};
+pub use table::{Neighbours, StateMark};
--- a/crates/fuchsiabay-balancer/src/neighbours/table.rs
+++ b/crates/fuchsiabay-balancer/src/neighbours/table.rs
@@ -17,13 +17,13 @@
 /// there are many instances.
 const CALLS_PER_ROUND: usize = 8;
 
-/// A revision of one instance's directory. The instance sends what changed after it.
+/// A revision of a part of one instance's state, such as its directory. The instance sends what changed after it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
-pub struct DirectoryMark {
-    /// Identifies the directory. It changes when the instance restarts.
+pub struct StateMark {
+    /// Identifies the state. It changes when the instance restarts.
     pub source: u64,
-    /// The revision of the directory.
+    /// The revision of the state.
     pub revision: u64,
 }
 
@@ -33,7 +33,11 @@
     loads_until: Option<Timestamp>,
     config_version: u64,
     loads: HashMap<InstanceId, u32>,
-    mark: Option<DirectoryMark>,
+    mark: Option<StateMark>,
+    /// The revision up to which the neighbour's crashes were received.
+    crash_mark: Option<StateMark>,
+    /// The revision up to which this instance's crashes were sent to the neighbour.
+    crashes_sent: u64,
 }
 
 /// The neighbours of one instance.
@@ -81,15 +85,35 @@
     }
 
     /// Sets the revision up to which the directory of the instance at `addr` was received.
-    pub fn set_mark(&mut self, addr: SocketAddr, mark: DirectoryMark) {
+    pub fn set_mark(&mut self, addr: SocketAddr, mark: StateMark) {
         self.neighbours.entry(addr).or_default().mark = Some(mark);
     }
 
     /// Returns the revision up to which the directory of the instance at `addr` was received.
-    pub fn mark(&self, addr: SocketAddr) -> Option<DirectoryMark> {
+    pub fn mark(&self, addr: SocketAddr) -> Option<StateMark> {
         self.neighbours.get(&addr)?.mark
     }
 
+    /// Records an exchange of crashes with the instance at `addr`: those of the neighbour were received up to `mark`, and those
+    /// of this instance were sent up to the revision `sent`.
+    pub fn record_crash_exchange(&mut self, addr: SocketAddr, mark: StateMark, sent: u64) {
+        let neighbour = self.neighbours.entry(addr).or_default();
+        // A restarted neighbour knows only what was sent to it since then.
+        let has_restarted = neighbour.crash_mark.is_some_and(|known| known.source != mark.source);
+        neighbour.crashes_sent = if has_restarted { 0 } else { sent };
+        neighbour.crash_mark = Some(mark);
+    }
+
+    /// Returns the revision up to which the crashes of the instance at `addr` were received.
+    pub fn crash_mark(&self, addr: SocketAddr) -> Option<StateMark> {
+        self.neighbours.get(&addr)?.crash_mark
+    }
+
+    /// Returns the revision up to which the crashes of this instance were sent to the one at `addr`.
+    pub fn crashes_sent(&self, addr: SocketAddr) -> u64 {
+        self.neighbours.get(&addr).map_or(0, |neighbour| neighbour.crashes_sent)
+    }
+
     /// Returns whether this instance reads the store for others.
     pub fn is_reader(&self) -> bool {
         self.readers.contains(self.own_addr)
--- a/crates/fuchsiabay-balancer/tests/crashes.rs
+++ b/crates/fuchsiabay-balancer/tests/crashes.rs
@@ -216,3 +216,95 @@
         TestResult::from_bool(is_found && are_served)
     }
 }
+
+/// Instances that exchange crashes as neighbours do: pairs of them in turn, in both directions.
+struct Instances(Vec<(CrashLedger, Vec<u64>)>);
+
+impl Instances {
+    fn new(count: usize) -> Self {
+        Self(vec![(CrashLedger::default(), vec![0; count]); count])
+    }
+
+    /// Sends what changed at `from` since the last time to `to`.
+    fn send(&mut self, from: usize, to: usize, now: Timestamp) {
+        self.0[from].0.advance(now);
+        let (revision, reports) = self.0[from].0.changes_since(self.0[from].1[to], now);
+        self.0[from].1[to] = revision;
+        reports.iter().for_each(|report| self.0[to].0.merge(report, now));
+    }
+
+    /// Has each instance exchange with the next one, `rounds` times.
+    fn exchange(&mut self, rounds: u64, ms: u64) {
+        for round in 0..rounds {
+            for i in 0..self.0.len() {
+                let next = (i + 1) % self.0.len();
+                self.send(i, next, at(ms + 250 * round));
+                self.send(next, i, at(ms + 250 * round));
+            }
+        }
+    }
+}
+
+/// Guards against a bad part that crashes servers at every instance, because each one sees too few of the crashes.
+#[test]
+fn crashes_at_different_instances_add_up() {
+    let mut instances = Instances::new(3);
+    for n in 0..3 {
+        let bad = suspects(&format!("f{n},bad,own{n}"), &format!("bad{n}"));
+        instances.0[n as usize].0.record_loss(&server(n), &bad, at(4_000 * n));
+    }
+    instances.exchange(4, 8_000 + CONFIRMED_MS);
+    for (ledger, _) in &mut instances.0 {
+        assert!(is_refused(ledger, &suspects("f7,bad,new", "new"), 11_000));
+        assert!(!is_refused(ledger, &suspects("f1,new", "new"), 11_000));
+    }
+}
+
+/// Guards against a restarted instance that sends bad requests to servers until it has seen crashes itself.
+#[test]
+fn restarted_instance_learns_the_crashes_of_its_neighbours() {
+    let mut instances = Instances::new(2);
+    for n in 0..40 {
+        let bad = suspects("f,bad,own", &format!("bad{n}"));
+        instances.0[0].0.record_loss(&server(n), &bad, at(1_000 * n));
+    }
+    instances.exchange(4, 41_000);
+    instances.0[1].0 = CrashLedger::default();
+    instances.0[0].1[1] = 0;
+    instances.exchange(1, 43_000);
+    assert!(is_refused(&mut instances.0[1].0, &suspects("g,bad,new", "new"), 43_500));
+}
+
+/// Guards against an instance that refuses a sound part because only other instances have seen that servers survive it.
+#[test]
+fn survivals_at_one_instance_clear_a_part_at_all() {
+    let mut instances = Instances::new(3);
+    (0..3).for_each(|ms| instances.0[2].0.record_survival(&suspects("a,own", "x"), at(ms)));
+    for n in 0..3 {
+        instances.0[0].0.record_loss(&server(n), &suspects("a,own", &format!("b{n}")), at(1_000 * (n + 1)));
+    }
+    instances.exchange(4, 5_000);
+    for (ledger, _) in &mut instances.0 {
+        assert!(!is_refused(ledger, &suspects("a,new", "new"), 7_000));
+    }
+}
+
+quickcheck! {
+    /// Guards against instances that judge differently although they have told each other everything, whatever the order.
+    fn instances_agree(losses: Vec<(u8, u8, u8, u16)>) -> bool {
+        let mut instances = Instances::new(3);
+        let mut losses: Vec<_> = losses.into_iter().take(MAX_CRASHES).collect();
+        losses.sort_unstable_by_key(|(.., ms)| *ms);
+        for (n, (instance, id, part, ms)) in losses.iter().enumerate() {
+            let parts = format!("p{},own", part % 3);
+            let ledger = &mut instances.0[usize::from(instance % 3)].0;
+            ledger.record_loss(&server(u64::from(id % 8)), &suspects(&parts, &format!("b{n}")), at(u64::from(*ms)));
+        }
+        instances.exchange(8, 70_000);
+        let refused = |ledger: &mut CrashLedger| -> Vec<bool> {
+            (0..3).map(|part| is_refused(ledger, &suspects(&format!("p{part},new"), "new"), 75_000)).collect()
+        };
+        let verdicts: Vec<_> = instances.0.iter_mut().map(|(ledger, _)| refused(ledger)).collect();
+        verdicts.iter().all(|verdict| *verdict == verdicts[0])
+    }
+}
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -9,8 +9,8 @@
 };
 
 use fuchsiabay_balancer::{
-    CallerLimits, ConfigSlot, CrashLedger, Directory, DirectoryMark, Freshness, IndexedConfig, Neighbours,
-    SharedState,
+    CallerLimits, ConfigSlot, CrashLedger, CrashReport, Directory, Freshness, IndexedConfig, Neighbours,
+    SharedState, StateMark,
 };
 use fuchsiabay_base::{InstanceId, ServiceName, Timestamp};
 use fuchsiabay_runtime::{OpsSource, monotonic_now};
@@ -23,7 +23,7 @@
     coordinator_lease::{CoordinatorLease, boot_now},
     drain::Drain,
     longest_deadlines::LongestDeadlines,
-    neighbours::{DirectoryUpdate, ExchangeReply},
+    neighbours::{CrashUpdate, DirectoryUpdate, ExchangeReply},
     response_budget::ResponseBudget,
     shard::ServiceShard,
 };
@@ -45,8 +45,8 @@
     crashes: Mutex<CrashLedger>,
     /// On the clock of [`boot_now`], because data becomes stale while the instance is suspended, too.
     freshness: Mutex<Freshness>,
-    /// Identifies this process's directory to neighbours.
-    directory_source: u64,
+    /// Identifies this process's state to neighbours.
+    state_source: u64,
     open_connections: AtomicUsize,
     running_requests: AtomicUsize,
     instances: AtomicUsize,
@@ -70,7 +70,7 @@
             neighbours,
             crashes: Mutex::default(),
             freshness: Mutex::default(),
-            directory_source: fastrand::u64(..),
+            state_source: fastrand::u64(..),
             open_connections: AtomicUsize::new(0),
             running_requests: AtomicUsize::new(0),
             instances: AtomicUsize::new(1),
@@ -187,6 +187,12 @@
         crashes
     }
 
+    /// Records what a neighbour told of crashes.
+    pub(crate) fn merge_crashes(&self, reports: &[CrashReport]) {
+        let mut crashes = self.crashes();
+        reports.iter().for_each(|report| crashes.merge(report, monotonic_now()));
+    }
+
     pub(crate) fn neighbours(&self) -> MutexGuard<'_, Neighbours> {
         self.neighbours.lock()
     }
@@ -229,23 +235,37 @@
 
     /// Returns the reply to a neighbour that has version `version` of the configuration and the changes of this directory up
     /// to `mark`.
-    pub(crate) fn exchange_reply(&self, version: u64, mark: Option<DirectoryMark>) -> ExchangeReply {
+    /// and its crashes up to `crash_mark`.
+    pub(crate) fn exchange_reply(
+        &self,
+        version: u64,
+        mark: Option<StateMark>,
+        crash_mark: Option<StateMark>,
+    ) -> ExchangeReply {
         // The ages are read first, so that the data is at least as recent as they state.
         let (freshness, now) = (*self.freshness.lock(), boot_now());
         let config = self.config();
         let newer_config = config.as_ref().filter(|config| config.version() > version);
-        let since = mark.filter(|mark| mark.source == self.directory_source).map_or(0, |mark| mark.revision);
+        let revision_of = |mark: Option<StateMark>| {
+            mark.filter(|mark| mark.source == self.state_source).map_or(0, |mark| mark.revision)
+        };
+        let (crash_revision, reports) =
+            self.crashes().changes_since(revision_of(crash_mark), monotonic_now());
         let directory = self.directory.lock();
         ExchangeReply {
             config_version: config.as_ref().map_or(0, |config| config.version()),
             config: newer_config.map(|config| config.config().clone()),
             config_age_ms: freshness.age_ms(SharedState::Config, now),
             directory: DirectoryUpdate {
-                mark: DirectoryMark { source: self.directory_source, revision: directory.revision() },
-                changes: directory.changes_since(since, monotonic_now()),
+                mark: StateMark { source: self.state_source, revision: directory.revision() },
+                changes: directory.changes_since(revision_of(mark), monotonic_now()),
                 age_ms: freshness.age_ms(SharedState::Directory, now),
             },
             loads: self.own_loads(),
+            crashes: Some(CrashUpdate {
+                mark: StateMark { source: self.state_source, revision: crash_revision },
+                reports,
+            }),
         }
     }
 
--- a/crates/fuchsiabay-gateway/src/neighbours/exchange.rs
+++ b/crates/fuchsiabay-gateway/src/neighbours/exchange.rs
@@ -54,17 +54,30 @@
     let Some(peer) = connections.peer(addr).await else {
         return;
     };
+    let (mark, crash_mark, crashes_sent) = {
+        let neighbours = gateway.neighbours();
+        (neighbours.mark(addr), neighbours.crash_mark(addr), neighbours.crashes_sent(addr))
+    };
+    let (crash_revision, crashes) = gateway.crashes().changes_since(crashes_sent, monotonic_now());
     let request = ExchangeRequest {
         from: own_addr,
         config_version: gateway.config_version(),
-        mark: gateway.neighbours().mark(addr),
+        mark,
         loads: gateway.own_loads(),
+        crash_mark,
+        crashes,
     };
     let requested_at = boot_now();
     let deadline = monotonic_now().plus_millis(CALL_TIMEOUT_MS);
     let reply: Result<ExchangeReply, _> = peer.call("exchange", &request, deadline).await;
     match reply {
-        Ok(reply) => apply_reply(gateway, addr, reply, requested_at),
+        Ok(reply) => {
+            if let Some(update) = &reply.crashes {
+                gateway.neighbours().record_crash_exchange(addr, update.mark, crash_revision);
+                gateway.merge_crashes(&update.reports);
+            }
+            apply_reply(gateway, addr, reply, requested_at);
+        }
         Err(error) => {
             log::info!(neighbour:% = addr, error:% = error; "neighbours: call failed");
             connections.close(addr);
--- a/crates/fuchsiabay-gateway/src/neighbours/mod.rs
+++ b/crates/fuchsiabay-gateway/src/neighbours/mod.rs
@@ -1,5 +1,5 @@
-//! The exchange between entry instances: the number of their requests at each server, and the configuration and the
-//! directory, which only some instances read from the store.
+//! The exchange between entry instances: the number of their requests at each server, the crashes of servers, and the
+//! configuration and the directory, which only some instances read from the store.
 
 mod connections;
 mod exchange;
@@ -7,4 +7,4 @@
 
 pub(crate) use connections::NeighbourConnections;
 pub(crate) use exchange::run;
-pub(crate) use service::{DirectoryUpdate, ExchangeReply, NeighbourService};
+pub(crate) use service::{CrashUpdate, DirectoryUpdate, ExchangeReply, NeighbourService};
--- a/crates/fuchsiabay-gateway/src/neighbours/service.rs
+++ b/crates/fuchsiabay-gateway/src/neighbours/service.rs
@@ -5,7 +5,7 @@
 
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
-use fuchsiabay_balancer::{DirectoryEntry, DirectoryMark, ServingConfig};
+use fuchsiabay_balancer::{CrashReport, DirectoryEntry, ServingConfig, StateMark};
 use fuchsiabay_base::InstanceId;
 use fuchsiabay_runtime::{Peer, PeerService, monotonic_now};
 use jsonrpsee::{
@@ -26,9 +26,15 @@
     /// Version of the configuration that the caller has, 0 for none.
     pub(crate) config_version: u64,
     /// The revision up to which the caller has received the called instance's directory.
-    pub(crate) mark: Option<DirectoryMark>,
+    pub(crate) mark: Option<StateMark>,
     /// Number of the caller's requests at each server.
     pub(crate) loads: HashMap<InstanceId, u32>,
+    /// The revision up to which the caller has received the called instance's crashes.
+    #[serde(default)]
+    pub(crate) crash_mark: Option<StateMark>,
+    /// The crashes that changed since the last exchange.
+    #[serde(default)]
+    pub(crate) crashes: Vec<CrashReport>,
 }
 
 /// The reply of the called instance.
@@ -45,6 +51,19 @@
     pub(crate) directory: DirectoryUpdate,
     /// Number of the called instance's requests at each server.
     pub(crate) loads: HashMap<InstanceId, u32>,
+    /// Changes of the crashes. None from an instance of an earlier version.
+    #[serde(default)]
+    pub(crate) crashes: Option<CrashUpdate>,
+}
+
+/// Changes of the called instance's crashes.
+#[derive(Clone, Debug)]
+#[derive(Serialize, Deserialize)]
+pub(crate) struct CrashUpdate {
+    /// The revision of the crashes after the changes.
+    pub(crate) mark: StateMark,
+    /// The changes since the caller's mark.
+    pub(crate) reports: Vec<CrashReport>,
 }
 
 /// Changes of the called instance's directory.
@@ -52,7 +71,7 @@
 #[derive(Serialize, Deserialize)]
 pub(crate) struct DirectoryUpdate {
     /// The revision of the directory after the changes.
-    pub(crate) mark: DirectoryMark,
+    pub(crate) mark: StateMark,
     /// The changes since the caller's mark.
     pub(crate) changes: Vec<DirectoryEntry>,
     /// Time since the directory was confirmed to be current. None if it is not confirmed.
@@ -77,7 +96,10 @@
     async fn exchange(&self, req: ExchangeRequest) -> RpcResult<ExchangeReply> {
         let gateway = &self.0;
         gateway.neighbours().record_exchange(req.from, req.config_version, req.loads, monotonic_now());
-        Ok(gateway.exchange_reply(req.config_version, req.mark))
+        // The changes are collected first, so that the caller does not receive its own.
+        let reply = gateway.exchange_reply(req.config_version, req.mark, req.crash_mark);
+        gateway.merge_crashes(&req.crashes);
+        Ok(reply)
     }
 }
 
--- a/crates/fuchsiabay-prove/src/neighbour_instance.rs
+++ b/crates/fuchsiabay-prove/src/neighbour_instance.rs
@@ -3,8 +3,8 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use fuchsiabay_balancer::{
-    CallerLimits, ConfigSlot, Directory, DirectoryEntry, DirectoryMark, Freshness, IndexedConfig, Neighbours,
-    ServingConfig, SharedState,
+    CallerLimits, ConfigSlot, Directory, DirectoryEntry, Freshness, IndexedConfig, Neighbours, ServingConfig,
+    SharedState, StateMark,
 };
 use fuchsiabay_base::Timestamp;
 
@@ -12,7 +12,7 @@
 pub(crate) struct ExchangeResponse {
     version: u64,
     config_age_ms: Option<u64>,
-    mark: DirectoryMark,
+    mark: StateMark,
     changes: Vec<DirectoryEntry>,
     directory_age_ms: Option<u64>,
 }
@@ -100,12 +100,12 @@
     }
 
     /// Returns the response to a neighbour that has received this directory up to `mark`.
-    pub(crate) fn respond(&self, mark: Option<DirectoryMark>, now: Timestamp) -> ExchangeResponse {
+    pub(crate) fn respond(&self, mark: Option<StateMark>, now: Timestamp) -> ExchangeResponse {
         let since = mark.filter(|mark| mark.source == self.source).map_or(0, |mark| mark.revision);
         ExchangeResponse {
             version: self.serving.version(),
             config_age_ms: self.freshness.age_ms(SharedState::Config, now),
-            mark: DirectoryMark { source: self.source, revision: self.directory.revision() },
+            mark: StateMark { source: self.source, revision: self.directory.revision() },
             changes: self.directory.changes_since(since, now),
             directory_age_ms: self.freshness.age_ms(SharedState::Directory, now),
         }
