Refuse waiting requests once they are known to crash servers

Cause: the quarantine was checked before a request waits for a slot, and not when the slot was granted. While a group is closed, all its requests wait, so most decisions fall into that time.

A waiting request checks four times a second, and again when it gets a slot. It is refused at once, not when its turn comes.

waiting_requests_are_refused_once_they_are_known_to_crash_servers fails without the check (7 bad requests reach servers, 3 are right) and passes with it.

--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -234,8 +234,7 @@
     }
 
     /// Returns the reply to a neighbour that has version `version` of the configuration and the changes of this directory up
-    /// to `mark`.
-    /// and its crashes up to `crash_mark`.
+    /// to `mark` and of the crashes up to `crash_mark`.
     pub(crate) fn exchange_reply(
         &self,
         version: u64,
--- a/crates/fuchsiabay-gateway/src/request/forwarder.rs
+++ b/crates/fuchsiabay-gateway/src/request/forwarder.rs
@@ -34,6 +34,9 @@
 /// The interval at which a waiting request checks whether its server has stalled, in milliseconds.
 const STALL_POLL_INTERVAL_MS: u64 = 250;
 
+/// The interval at which a request in the queue checks whether it has become known to crash servers, in milliseconds.
+const QUEUE_POLL_INTERVAL_MS: u64 = 250;
+
 /// The time from the first event of a response after which its request is known not to crash the server, in milliseconds. It
 /// is shorter than the time for which a group stalls before it cuts off its streams because another rank has crashed.
 const SURVIVAL_MS: u64 = 1_000;
@@ -229,11 +232,11 @@
                 return Err(self.refusal_outcome(refusal.reason.as_str(), refusal.retry_after_ms));
             }
             AcquireResult::Waiter(mut waiter) => {
-                let granted = until_interrupted(socket, self.request.deadline, waiter.wait()).await;
-                match granted.map_err(|interrupt| self.interrupted_outcome(interrupt))? {
-                    Some(slot) => slot,
-                    None => return Err(self.interrupted_outcome(Interrupt::DeadlinePassed)),
-                }
+                let wait = waiter.wait().or(self.wait_until_quarantined());
+                let granted = until_interrupted(socket, self.request.deadline, wait).await;
+                let slot = granted.map_err(|interrupt| self.interrupted_outcome(interrupt))?;
+                self.check_quarantine(monotonic_now())?;
+                slot.ok_or_else(|| self.interrupted_outcome(Interrupt::DeadlinePassed))?
             }
         };
         let now = monotonic_now();
@@ -248,6 +251,17 @@
         Ok(slot)
     }
 
+    /// Returns None once it becomes known that the request crashes servers.
+    async fn wait_until_quarantined(&self) -> Option<SlotGuard> {
+        loop {
+            let now = monotonic_now();
+            if self.request.gateway.crashes().quarantine(&self.request.suspects, now).is_some() {
+                return None;
+            }
+            sleep_until(now.plus_millis(QUEUE_POLL_INTERVAL_MS)).await;
+        }
+    }
+
     /// Refuses the request if it is known to crash servers.
     fn check_quarantine(&self, now: Timestamp) -> Result<(), RequestOutcome> {
         let Some(quarantine) = self.request.gateway.crashes().quarantine(&self.request.suspects, now) else {
--- a/crates/fuchsiabay-gateway/tests/crash_containment.rs
+++ b/crates/fuchsiabay-gateway/tests/crash_containment.rs
@@ -13,13 +13,14 @@
 use smol::Timer;
 use support::{
     Harness,
-    crashing::{BAD, CrashingFleet},
+    crashing::{BAD, CrashingFleet, SLOW},
     harness::config,
     platform::FakePlatform,
 };
 
-/// The number of servers. Some are up while others restart.
+/// The number of servers, and how long one is down after a crash. Some are up while others restart.
 const SERVERS: usize = 6;
+const DOWN: Duration = Duration::from_millis(300);
 
 /// How long the system may take to apply what the crashes show: `contact_ms` of the rules.
 const CONTACT: Duration = Duration::from_millis(3_000);
@@ -57,7 +58,7 @@
 async fn start(instances: usize) -> (CrashingFleet, Vec<Harness>) {
     let platform = FakePlatform::default();
     *platform.config.lock().unwrap() = Some(config(1));
-    let fleet = CrashingFleet::start(platform.clone(), SERVERS).await;
+    let fleet = CrashingFleet::start(platform.clone(), SERVERS, DOWN).await;
     let mut harnesses = Vec::new();
     for _ in 0..instances {
         let platform = FakePlatform { reads: Arc::default(), ..platform.clone() };
@@ -149,3 +150,47 @@
     /// Guards against a request that crashes servers at each of the entry instances, because each counts for itself.
     repeated_request_stops_crashing_servers_at_all_instances(BAD_BODY);
 }
+
+/// Sends a request to the route of streams that are not resumed, without waiting for the response.
+async fn send_once(harness: &Harness, id: &str, parts: &str, body: &str) {
+    let mut caller = harness.caller().await;
+    let req = request(id, parts, body).replace("/stream/", "/once/").replace("X-Left: 900", "X-Left: 5000");
+    smol::spawn(async move { caller.round_trip(req.as_bytes()).await }).detach();
+}
+
+/// Guards against bad requests that wait for a slot, for example until a group is open again, and are sent although it became
+/// known meanwhile that they crash servers.
+#[test]
+fn waiting_requests_are_refused_once_they_are_known_to_crash_servers() {
+    smol::block_on(async {
+        let platform = FakePlatform::default();
+        let mut config = config(1);
+        for route in &mut config.routes {
+            (route.timeout_ms, route.goal_ms, route.patience_ms) = (5_000, 4_000, None);
+        }
+        *platform.config.lock().unwrap() = Some(config);
+        let fleet = CrashingFleet::start(platform.clone(), 4, Duration::from_secs(60)).await;
+        let harness = Harness::start_with(platform, Vec::new(), &[]).await;
+        harness.wait_until_ready().await;
+        for n in 0..2 {
+            send_once(&harness, &format!("b{n}"), &format!("f,{BAD},own{n}"), "x").await;
+            Timer::after(Duration::from_millis(1_200)).await;
+        }
+        // Two servers with four slots each are left. The third bad request takes the last slot and crashes one of them.
+        for n in 0..7 {
+            send_once(&harness, &format!("s{n}"), &format!("f,own-s{n}"), SLOW).await;
+        }
+        Timer::after(Duration::from_millis(50)).await;
+        send_once(&harness, "b2", &format!("f,{BAD},own2"), "x").await;
+        Timer::after(Duration::from_millis(150)).await;
+        assert_eq!(fleet.crashes().len(), 3);
+        for n in 3..7 {
+            send_once(&harness, &format!("b{n}"), &format!("f,{BAD},own{n}"), "x").await;
+        }
+        Timer::after(Duration::from_millis(3_000)).await;
+        assert_eq!(fleet.bad_arrivals().len(), 3, "bad requests were sent from the queue");
+        let sound = request("s9", "f,own-s9", "x");
+        let res = harness.caller().await.round_trip(sound.as_bytes()).await.expect("a response");
+        assert_eq!((res.status, res.is_complete), (200, true));
+    });
+}
--- a/crates/fuchsiabay-gateway/tests/support/crashing.rs
+++ b/crates/fuchsiabay-gateway/tests/support/crashing.rs
@@ -26,8 +26,8 @@
 /// What crashes a server if it occurs among the parts of a prompt or in a body.
 pub const BAD: &str = "bad";
 
-/// How long a crashed server is down.
-const DOWN: Duration = Duration::from_millis(300);
+/// The body of a request whose events have long pauses.
+pub const SLOW: &str = "slow";
 
 /// The time from the first event of a bad request to the crash.
 const CRASH_DELAY: Duration = Duration::from_millis(30);
@@ -35,6 +35,7 @@
 /// The number of events of a stream, and the pause between them.
 const EVENTS: u64 = 4;
 const EVENT_PAUSE: Duration = Duration::from_millis(15);
+const SLOW_EVENT_PAUSE: Duration = Duration::from_millis(500);
 
 /// Servers of one service that share a directory.
 #[derive(Clone)]
@@ -45,13 +46,20 @@
     /// When servers crashed.
     crashes: Arc<Mutex<Vec<Instant>>>,
     starts: Arc<AtomicUsize>,
+    /// How long a crashed server is down.
+    down: Duration,
 }
 
 impl CrashingFleet {
-    /// Starts `count` servers in the directory of `platform`.
-    pub async fn start(platform: FakePlatform, count: usize) -> Self {
-        let fleet =
-            Self { platform, bad_arrivals: Arc::default(), crashes: Arc::default(), starts: Arc::default() };
+    /// Starts `count` servers in the directory of `platform`, which are down for `down` after a crash.
+    pub async fn start(platform: FakePlatform, count: usize, down: Duration) -> Self {
+        let fleet = Self {
+            platform,
+            bad_arrivals: Arc::default(),
+            crashes: Arc::default(),
+            starts: Arc::default(),
+            down,
+        };
         for _ in 0..count {
             let first = fleet.start_server().await;
             smol::spawn(fleet.clone().run_server(first)).detach();
@@ -95,7 +103,7 @@
             self.serve_until_crash(listener, tx, rx).await;
             self.crashes.lock().unwrap().push(Instant::now());
             self.platform.servers.lock().unwrap().retain(|record| record.id != id);
-            Timer::after(DOWN).await;
+            Timer::after(self.down).await;
             server = self.start_server().await;
         }
     }
@@ -143,8 +151,9 @@
     let after: u64 = req.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
     let head = format!("HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\nTransfer-Encoding: chunked\r\n\r\n");
     stream.write_all(head.as_bytes()).await?;
+    let pause = if req.body == SLOW.as_bytes() { SLOW_EVENT_PAUSE } else { EVENT_PAUSE };
     for id in after + 1..=EVENTS.max(after + 1) {
-        Timer::after(EVENT_PAUSE).await;
+        Timer::after(pause).await;
         stream.write_all(chunk(&format!("id: {id}\ndata: e{id}\n\n")).as_bytes()).await?;
         if is_bad {
             return Ok(());
