Reproduce LIMIT: servers get more requests than they accept

Fake servers state a limit, one or more entry instances get more requests than that, and another server could take the rest.

--- a/crates/fuchsiabay-gateway/src/header_names.rs
+++ b/crates/fuchsiabay-gateway/src/header_names.rs
@@ -17,6 +17,9 @@
     pub not_run: &'static str,
     /// In a response: the number of running requests, waiting requests and slots.
     pub load: &'static str,
+    /// In a response: the number of requests a second that the server accepts from all callers together, for as long as its
+    /// responses state it.
+    pub limit: &'static str,
     /// In a response: the server that failed, if it is another one that the responding server depends on.
     pub at_fault: &'static str,
     /// Number of prompt tokens and maximum number of output tokens.
--- a/crates/fuchsiabay-gateway/tests/support/harness.rs
+++ b/crates/fuchsiabay-gateway/tests/support/harness.rs
@@ -26,6 +26,7 @@
     expected_server: "X-Server",
     not_run: "X-Not-Run",
     load: "X-Load",
+    limit: "X-Limit",
     at_fault: "X-Fault",
     token_count: "X-Tokens",
     prompt_parts: "X-Parts",
--- a/crates/fuchsiabay-gateway/tests/support/server.rs
+++ b/crates/fuchsiabay-gateway/tests/support/server.rs
@@ -4,7 +4,7 @@
     collections::VecDeque,
     net::SocketAddr,
     sync::{Arc, Mutex},
-    time::Duration,
+    time::{Duration, Instant},
 };
 
 use smol::{
@@ -57,6 +57,8 @@
     /// Streams `events` events, or those after the request's `Last-Event-Id`. Closes the connection after `close_after` of
     /// them, if given.
     Stream { events: u64, close_after: Option<u64>, pause_ms: u64 },
+    /// Responds and states how many requests a second the server accepts from all callers together.
+    Limited(&'static str),
     /// Streams `close_after` events and part of another one, then closes the connection.
     IncompleteEvent { close_after: u64 },
 }
@@ -66,6 +68,7 @@
 pub struct Received {
     pub head: String,
     pub body: Vec<u8>,
+    pub at: Instant,
 }
 
 impl Received {
@@ -180,6 +183,9 @@
             let load = format!("X-Load: {0},{0},4\r\nKeep-Alive: timeout={1}\r\n", u32::MAX, u64::MAX);
             ok_response("large").replace("X-Stamp: s\r\n", &format!("X-Stamp: s\r\n{load}"))
         }
+        Behaviour::Limited(limit) => {
+            ok_response("limited").replace("X-Stamp: s\r\n", &format!("X-Stamp: s\r\nX-Limit: {limit}\r\n"))
+        }
         Behaviour::LateCopy(ms) => {
             let response = ok_response("copied");
             if stream.write_all(response.as_bytes()).await.is_err() {
@@ -293,7 +299,7 @@
         fill(stream, buf).await?;
     };
     let head = String::from_utf8(buf.drain(..end).collect()).ok()?;
-    let mut received = Received { head, body: Vec::new() };
+    let mut received = Received { head, body: Vec::new(), at: Instant::now() };
     let length = received.header("content-length").map_or(0, |length| length.parse().unwrap());
     while buf.len() < length {
         fill(stream, buf).await?;
