Respect the limits that servers state for all instances together

What servers saw: one that states how many requests a second it accepts (Server-Limit) got up to twice as many.

A server that accepts less without becoming slower looks as attractive as before.

The instances agree on an order by rendezvous hashing of the members; the first few of them, about as many as the limit has requests a second, share it evenly. More would exceed it together whenever all of them have a request. Requests that cannot be sent go to other servers or wait as for a slot. A limit ends with the first successful response without it or with the server's process; a refusal does not end it. The heads of refusals are read, too.

--- a/crates/fuchsiabay-balancer/src/neighbours/readers.rs
+++ b/crates/fuchsiabay-balancer/src/neighbours/readers.rs
@@ -48,6 +48,6 @@
 }
 
 /// Returns the sort key for rendezvous hashing: a member that joins or leaves changes the choice for few instances.
-fn rendezvous_key(salt: &[u8], addr: SocketAddr) -> (Fingerprint, SocketAddr) {
+pub(super) fn rendezvous_key(salt: &[u8], addr: SocketAddr) -> (Fingerprint, SocketAddr) {
     (Fingerprint::of(&[salt, addr.to_string().as_bytes()]), addr)
 }
--- a/crates/fuchsiabay-balancer/src/neighbours/table.rs
+++ b/crates/fuchsiabay-balancer/src/neighbours/table.rs
@@ -5,7 +5,8 @@
 use fuchsiabay_base::{InstanceId, Timestamp, is_mechanism_enabled};
 use serde::{Deserialize, Serialize};
 
-use super::StoreReaders;
+use super::{StoreReaders, readers::rendezvous_key};
+use crate::InstanceRank;
 
 /// How long the loads reported by a neighbour are used, in milliseconds.
 const LOADS_LIFETIME_MS: u64 = 1_500;
@@ -46,13 +47,21 @@
     own_addr: SocketAddr,
     neighbours: HashMap<SocketAddr, Neighbour>,
     readers: StoreReaders,
+    /// The members that the store listed last.
+    members: Vec<SocketAddr>,
     round: usize,
 }
 
 impl Neighbours {
     /// Creates an empty table for the instance that listens for calls at `own_addr`.
     pub fn new(own_addr: SocketAddr) -> Self {
-        Self { own_addr, neighbours: HashMap::new(), readers: StoreReaders::default(), round: 0 }
+        Self {
+            own_addr,
+            neighbours: HashMap::new(),
+            readers: StoreReaders::default(),
+            members: Vec::new(),
+            round: 0,
+        }
     }
 
     /// Adds the instances at `addrs` or restarts their timeout, and drops the neighbours whose timeout has passed.
@@ -67,6 +76,17 @@
     pub fn set_members(&mut self, members: &[SocketAddr], instances: usize, now: Timestamp) {
         self.refresh(members.iter().copied(), now);
         self.readers = StoreReaders::choose(members, instances);
+        self.members = members.to_vec();
+    }
+
+    /// Returns the rank of this instance among those that share the limit of a server, in rendezvous order. Without a list from
+    /// the store, the known neighbours share it.
+    pub fn rank_at(&self, server: &InstanceId) -> InstanceRank {
+        let known = if self.members.is_empty() { self.addrs() } else { self.members.clone() };
+        let own_key = rendezvous_key(server.as_str().as_bytes(), self.own_addr);
+        let others = || known.iter().filter(|addr| **addr != self.own_addr);
+        let is_before = |addr: &&SocketAddr| rendezvous_key(server.as_str().as_bytes(), **addr) < own_key;
+        InstanceRank { rank: others().filter(is_before).count(), instances: others().count() + 1 }
     }
 
     /// Stores what the instance at `addr` sent in an exchange.
--- a/crates/fuchsiabay-balancer/src/pool/commands.rs
+++ b/crates/fuchsiabay-balancer/src/pool/commands.rs
@@ -5,7 +5,7 @@
 use fuchsiabay_base::{InstanceId, Timestamp, invariant};
 
 use super::{Admission, Grant, Job, JobId, Pool, Refusal, RefusalReason, member::Member};
-use crate::{EngineProfile, Outcome, ServerRecord};
+use crate::{EngineProfile, InstanceRank, Outcome, ServerRecord};
 
 /// How long a server gets no requests after it responded that it is full, in milliseconds.
 const FULL_PAUSE_MS: u64 = 100;
@@ -169,6 +169,20 @@
         self.dispatch(now)
     }
 
+    /// Sets the number of requests a second that a server accepts from all instances, among which this one has `rank`. None if
+    /// the server states no limit.
+    pub fn set_rate_limit(
+        &mut self,
+        server: &InstanceId,
+        per_s: Option<f64>,
+        rank: InstanceRank,
+        now: Timestamp,
+    ) {
+        if let Some(member) = self.member(server) {
+            member.set_rate_limit(per_s, rank, now);
+        }
+    }
+
     /// Records that a server responded that it is full.
     pub fn record_full(&mut self, server: &InstanceId, now: Timestamp) {
         if let Some(member) = self.member(server) {
--- a/crates/fuchsiabay-balancer/src/pool/queries.rs
+++ b/crates/fuchsiabay-balancer/src/pool/queries.rs
@@ -42,6 +42,7 @@
             own: member.own_requests,
             others: member.others_requests(now),
             ejected_until: member.health.ejected_until(),
+            has_rate_limit: member.has_rate_limit(),
             is_leaving: member.is_leaving,
         };
         PoolStatus { queued: self.queue.len(), servers: self.members.iter().map(server).collect() }
@@ -65,6 +66,16 @@
         self.members.iter().any(|member| !member.is_leaving && member.is_blocked(now))
     }
 
+    /// Returns whether a server has stated a limit.
+    pub fn has_rate_limit(&self, server: &InstanceId) -> bool {
+        self.members.iter().any(|member| member.record.id == *server && member.has_rate_limit())
+    }
+
+    /// Returns whether requests wait that may be sent as soon as the limit of a server allows it.
+    pub fn has_paced_jobs(&self) -> bool {
+        self.queue.len() > 0 && self.members.iter().any(Member::has_rate_limit)
+    }
+
     /// Returns whether every server is blocked because a rank cannot be reached.
     ///
     /// Callers give up after some seconds without a response, and an unreachable rank often takes longer to return. A
--- a/crates/fuchsiabay-balancer/src/pool/status.rs
+++ b/crates/fuchsiabay-balancer/src/pool/status.rs
@@ -15,6 +15,8 @@
     pub others: u32,
     /// The end of the ejection, if the server is ejected.
     pub ejected_until: Option<Timestamp>,
+    /// Whether the server states a limit for the requests a second of all instances.
+    pub has_rate_limit: bool,
     /// Whether the server is leaving.
     pub is_leaving: bool,
 }
--- a/crates/fuchsiabay-gateway/src/backend/attempt.rs
+++ b/crates/fuchsiabay-gateway/src/backend/attempt.rs
@@ -29,18 +29,22 @@
 }
 
 impl Attempt {
-    /// Sends `bytes` on `connection` and reads the response head. The connection is dropped on failure.
+    /// Sends `bytes` on `connection` and reads the response head. `observe` is called with the head of every response of the
+    /// server to this request, also if the server refuses it. The connection is dropped on failure.
     pub(crate) async fn start(
         mut connection: Connection,
         req: &OutgoingRequest,
         bytes: &[u8],
         header_names: &HeaderNames,
+        observe: impl FnOnce(&ResponseHead),
     ) -> Result<Self, Failure> {
         let (head, request_was_sent) = exchange(&mut connection.socket, bytes, req.is_head_request)
             .await
             .map_err(|error| head_failure(&error))?;
         let response = Response { head, request_was_sent };
-        check(&response.head, req, header_names)?;
+        check_identity(&response.head, req, header_names)?;
+        observe(&response.head);
+        check_outcome(&response.head, header_names)?;
         let body = BodyReader::new(response.head.framing);
         Ok(Self { connection, response, body })
     }
@@ -90,16 +94,25 @@
     .await
 }
 
-/// Checks that the response belongs to the request. Also fails if the server reports that the request did not run.
-fn check(head: &ResponseHead, req: &OutgoingRequest, header_names: &HeaderNames) -> Result<(), Failure> {
-    let headers = &head.headers;
+/// Checks that the response belongs to the request and comes from the server that it was sent to.
+fn check_identity(
+    head: &ResponseHead,
+    req: &OutgoingRequest,
+    header_names: &HeaderNames,
+) -> Result<(), Failure> {
     // A response with another id, or without one, may be a late copy of the response to an earlier request.
-    if headers.get(header_names.request_id).unwrap_or_default() != req.request_id {
+    if head.headers.get(header_names.request_id).unwrap_or_default() != req.request_id {
         return Err(Failure::may_have_run(FailureKind::InvalidResponse));
     }
     if head.status == 421 {
         return Err(Failure::not_run(FailureKind::Misdirected));
     }
+    Ok(())
+}
+
+/// Fails if the server reports that the request did not run, or if the response is invalid.
+fn check_outcome(head: &ResponseHead, header_names: &HeaderNames) -> Result<(), Failure> {
+    let headers = &head.headers;
     if headers.get(header_names.not_run).is_some() {
         let is_group_fault = headers.get(header_names.at_fault).is_some();
         let kind = if is_group_fault { FailureKind::Unavailable } else { FailureKind::Full };
--- a/crates/fuchsiabay-gateway/src/follow.rs
+++ b/crates/fuchsiabay-gateway/src/follow.rs
@@ -21,6 +21,9 @@
 /// Interval at which the queues, the directory and the idle connections are checked for expired entries.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The same while requests wait for servers that have stated limits.
+const PACED_INTERVAL: Duration = Duration::from_millis(50);
+
 /// Keeps the configuration up to date. Never returns.
 pub(crate) async fn follow_config<S: ConfigSource>(gateway: Arc<Gateway>, mut source: S) {
     let mut dependency = DependencyStatus::new("configuration");
@@ -92,7 +95,8 @@
 /// Runs the periodic housekeeping. Never returns.
 pub(crate) async fn run_housekeeping(gateway: Arc<Gateway>) {
     loop {
-        Timer::after(HOUSEKEEPING_INTERVAL).await;
+        let has_paced_jobs = gateway.shards().iter().any(|shard| shard.has_paced_jobs());
+        Timer::after(if has_paced_jobs { PACED_INTERVAL } else { HOUSEKEEPING_INTERVAL }).await;
         let now = monotonic_now();
         gateway.change_directory(|directory, now| directory.expire(now));
         for shard in gateway.shards() {
--- a/crates/fuchsiabay-gateway/src/request/forwarder.rs
+++ b/crates/fuchsiabay-gateway/src/request/forwarder.rs
@@ -304,9 +304,9 @@
                 this.wait_until_slow(&server.id, slow_at).await;
                 Err(Failure::may_have_run(FailureKind::Slow))
             };
-            Attempt::start(connection, this.outgoing, &bytes, request.gateway.settings.header_names)
-                .or(slow)
-                .await
+            let header_names = request.gateway.settings.header_names;
+            let observe = |head: &ResponseHead| record_statements(request, &server.id, head);
+            Attempt::start(connection, this.outgoing, &bytes, header_names, observe).or(slow).await
         };
         let result = until_interrupted(socket, request.deadline, attempt).await;
         self.has_taken_retry = matches!(&result, Ok(Err(failure)) if failure.kind == FailureKind::Slow);
@@ -317,9 +317,6 @@
             Ok(Ok(_)) | Err(_) => Verdict::MayHaveRun,
         };
         let result = result.map_err(|interrupt| self.interrupted_outcome(interrupt))?;
-        if let Ok(attempt) = &result {
-            record_load(request, &server.id, attempt);
-        }
         let has_responded = result.as_ref().map_or_else(|failure| failure.kind.is_response(), |_| true);
         if has_responded {
             let now = monotonic_now();
@@ -419,16 +416,45 @@
     }
 }
 
-/// Reports the server's load, as stated in the response, to the shard.
-fn record_load(request: &RoutedRequest<'_>, server: &InstanceId, attempt: &Attempt) {
-    let value = attempt.response.head.headers.get(request.gateway.settings.header_names.load);
-    let Some(value) = value else {
-        return;
-    };
-    let mut numbers = value.split(',').map(|part| part.trim().parse::<u32>());
+/// Reports to the shard what the server states about itself in a response.
+fn record_statements(request: &RoutedRequest<'_>, server: &InstanceId, head: &ResponseHead) {
+    let header_names = request.gateway.settings.header_names;
+    if let Some(load) = head.headers.get(header_names.load) {
+        record_load(request, server, load);
+    }
+    record_rate_limit(request, server, head.headers.get(header_names.limit), head.is_success());
+}
+
+fn record_load(request: &RoutedRequest<'_>, server: &InstanceId, load: &str) {
+    let mut numbers = load.split(',').map(|part| part.trim().parse::<u32>());
     let (Some(Ok(running)), Some(Ok(waiting))) = (numbers.next(), numbers.next()) else {
-        log::debug!("attempt: cannot parse load {value:?} of {server}");
+        log::debug!("attempt: cannot parse load {load:?} of {server}");
         return;
     };
     request.shard.set_server_load(server, running.saturating_add(waiting));
 }
+
+/// Sets or ends the limit of a server. A refusal without a limit does not end it, because it may come from the queue in front
+/// of the server.
+fn record_rate_limit(
+    request: &RoutedRequest<'_>,
+    server: &InstanceId,
+    limit: Option<&str>,
+    is_success: bool,
+) {
+    let had_limit = request.shard.has_rate_limit(server);
+    let per_s = limit.and_then(|limit| limit.trim().parse::<f64>().ok());
+    let per_s = per_s.filter(|per_s| per_s.is_finite() && *per_s >= 0.0);
+    if per_s.is_none() && !(had_limit && is_success) {
+        return;
+    }
+    let rank = request.gateway.neighbours().rank_at(server);
+    request.shard.set_rate_limit(server, per_s, rank);
+    if had_limit != per_s.is_some() {
+        log::info!(
+            service = request.shard.name().as_str(), server = server.as_str(), limit = limit.unwrap_or("none"),
+            rank = rank.rank, instances = rank.instances;
+            "limit: stated by a server"
+        );
+    }
+}
--- a/crates/fuchsiabay-gateway/src/shard.rs
+++ b/crates/fuchsiabay-gateway/src/shard.rs
@@ -9,8 +9,8 @@
 };
 
 use fuchsiabay_balancer::{
-    Admission, EngineProfile, Grant, Job, JobId, Outcome, Pool, PoolStatus, Refusal, RetryBudget,
-    RetryLimits, ServerRecord,
+    Admission, EngineProfile, Grant, InstanceRank, Job, JobId, Outcome, Pool, PoolStatus, Refusal,
+    RetryBudget, RetryLimits, ServerRecord,
 };
 use fuchsiabay_base::{InstanceId, ServiceName, Timestamp, ZoneName};
 use fuchsiabay_runtime::monotonic_now;
@@ -108,6 +108,21 @@
         self.state.lock().pool.set_reported_load(server, total, monotonic_now());
     }
 
+    /// Sets the number of requests a second that a server accepts from all instances, as stated in its response.
+    pub(crate) fn set_rate_limit(&self, server: &InstanceId, per_s: Option<f64>, rank: InstanceRank) {
+        self.state.lock().pool.set_rate_limit(server, per_s, rank, monotonic_now());
+    }
+
+    /// Returns whether a server has stated a limit.
+    pub(crate) fn has_rate_limit(&self, server: &InstanceId) -> bool {
+        self.state.lock().pool.has_rate_limit(server)
+    }
+
+    /// Returns whether requests wait that may be sent as soon as the limit of a server allows it.
+    pub(crate) fn has_paced_jobs(&self) -> bool {
+        self.state.lock().pool.has_paced_jobs()
+    }
+
     pub(crate) fn record_full(&self, server: &InstanceId) {
         self.state.lock().pool.record_full(server, monotonic_now());
     }
