Forward the model and the prompt parts whatever the caller lists

A caller that lists Model or the prompt parts in its Connection header had them dropped, so the server ran the request without them. Found while reading how the prompt parts travel: the id, the token count and the length hint were exempt from this, these two were not.

request_is_forwarded_unchanged lists them now; it failed before.

--- a/crates/fuchsiabay-gateway/src/backend/outgoing.rs
+++ b/crates/fuchsiabay-gateway/src/backend/outgoing.rs
@@ -112,7 +112,9 @@
     // Fields that the deployment relies on are forwarded even if the caller lists them in `Connection`.
     let is_required = is("host")
         || is(header_names.request_id)
+        || is(header_names.model)
         || is(header_names.token_count)
+        || is(header_names.prompt_parts)
         || is(header_names.length_hint);
     is_required || !headers.contains_token("connection", name)
 }
--- a/crates/fuchsiabay-gateway/src/header_names.rs
+++ b/crates/fuchsiabay-gateway/src/header_names.rs
@@ -22,6 +22,8 @@
     pub limit: &'static str,
     /// In a response: the server that failed, if it is another one that the responding server depends on.
     pub at_fault: &'static str,
+    /// The model that the request is for.
+    pub model: &'static str,
     /// Number of prompt tokens and maximum number of output tokens.
     pub token_count: &'static str,
     /// The parts of the prompt, in order, as `ID:TOKENS` separated by commas. The last one belongs to the request or to its
--- a/crates/fuchsiabay-gateway/tests/forwarding.rs
+++ b/crates/fuchsiabay-gateway/tests/forwarding.rs
@@ -63,7 +63,8 @@
     smol::block_on(async {
         let harness = Harness::start(1, &[OK]).await;
         let request = "POST /safe/a?b=%20c HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Call: c1\r\n\
-            x-workspace: other\r\nX-Server: other\r\nX-Tokens: 3,4\r\nX-Left: 800\r\nConnection: keep-alive, X-Tokens, X-Hop\r\n\
+            x-workspace: other\r\nX-Server: other\r\nX-Tokens: 3,4\r\nX-Model: m\r\nX-Parts: a:1,b:2\r\nX-Left: 800\r\n\
+            Connection: keep-alive, X-Tokens, X-Model, X-Parts, X-Hop\r\n\
             X-Hop: 1\r\nX-Kept: 2\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;ext=1\r\nc\r\n0\r\nTrailer: 1\r\n\r\n";
         let response = harness.caller().await.round_trip(request.as_bytes()).await.unwrap();
         assert_eq!((response.status, response.header("x-stamp").as_deref()), (200, Some("s")));
@@ -76,6 +77,8 @@
             ("x-workspace", Some("w")),
             ("x-server", Some("i-0")),
             ("x-tokens", Some("3,4")),
+            ("x-model", Some("m")),
+            ("x-parts", Some("a:1,b:2")),
             ("x-kept", Some("2")),
             ("x-hop", None),
             ("authorization", None),
--- a/crates/fuchsiabay-gateway/tests/support/harness.rs
+++ b/crates/fuchsiabay-gateway/tests/support/harness.rs
@@ -28,6 +28,7 @@
     load: "X-Load",
     limit: "X-Limit",
     at_fault: "X-Fault",
+    model: "X-Model",
     token_count: "X-Tokens",
     prompt_parts: "X-Parts",
     length_hint: "X-Hint",
