Prefer the part that servers survived less among those with the same crashes

Among suspects with the same crashes the most specific one was quarantined. If the bad part stands above a rarely used sound one, and the few bad requests all have both, the sound one was refused for minutes and the bad one was not known.

--- a/crates/fuchsiabay-balancer/src/crashes/queries.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/queries.rs
@@ -1,6 +1,6 @@
 //! What is quarantined.
 
-use std::collections::HashMap;
+use std::{cmp::Reverse, collections::HashMap};
 
 use fuchsiabay_base::{Fingerprint, Timestamp};
 use serde::Serialize;
@@ -102,26 +102,32 @@
         let is_confirmed =
             |crash: &&Crash| !crash.is_refuted && crash.confirmed_at() <= now && crash.expires_at() > now;
         let mut unexplained: Vec<&Crash> = self.crashes.values().filter(is_confirmed).collect();
-        while let Some((fingerprint, tally)) = most_frequent(&unexplained) {
+        while let Some((fingerprint, tally)) = self.most_frequent(&unexplained, now) {
             let quarantine = Quarantine { fingerprint, crashes: tally.crashes, until: tally.expires_at };
             verdicts.quarantines.insert(fingerprint, quarantine);
             unexplained.retain(|crash| !crash.is_suspect(&fingerprint));
         }
         verdicts
     }
-}
 
-/// Returns the suspect with the most crashes, the more specific one first, among those that must be quarantined.
-fn most_frequent(crashes: &[&Crash]) -> Option<(Fingerprint, Tally)> {
-    let mut tallies: HashMap<Fingerprint, Tally> = HashMap::new();
-    for crash in crashes {
-        for (fingerprint, suspicion) in crash.suspects.iter().filter(|(_, suspicion)| !suspicion.is_cleared) {
-            let tally = tallies.entry(*fingerprint).or_insert_with(|| Tally::new(crash, suspicion.depth));
-            tally.add(crash, suspicion.depth);
+    /// Returns the suspect with the most crashes among those that must be quarantined. Of those with the same number, it is the
+    /// one with the fewest survivals, and then the most specific one.
+    fn most_frequent(&self, crashes: &[&Crash], now: Timestamp) -> Option<(Fingerprint, Tally)> {
+        let mut tallies: HashMap<Fingerprint, Tally> = HashMap::new();
+        for crash in crashes {
+            for (fingerprint, suspicion) in
+                crash.suspects.iter().filter(|(_, suspicion)| !suspicion.is_cleared)
+            {
+                let tally = tallies.entry(*fingerprint).or_insert_with(|| Tally::new(crash, suspicion.depth));
+                tally.add(crash, suspicion.depth);
+            }
         }
+        let must_be_quarantined = tallies.into_iter().filter(|(_, tally)| tally.is_conclusive());
+        must_be_quarantined.max_by_key(|(fingerprint, tally)| {
+            let survivals = self.survivals.count(fingerprint, now);
+            (tally.crashes, Reverse(survivals), tally.depth, *fingerprint)
+        })
     }
-    let must_be_quarantined = tallies.into_iter().filter(|(_, tally)| tally.is_conclusive());
-    must_be_quarantined.max_by_key(|(fingerprint, tally)| (tally.crashes, tally.depth, *fingerprint))
 }
 
 impl Tally {
--- a/crates/fuchsiabay-balancer/src/crashes/survivals.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/survivals.rs
@@ -33,13 +33,18 @@
 
     /// Returns whether `fingerprint` is known to be harmless.
     pub(super) fn is_harmless(&self, fingerprint: &Fingerprint, now: Timestamp) -> bool {
+        self.count(fingerprint, now) >= ENOUGH
+    }
+
+    /// Returns how often servers survived `fingerprint` recently.
+    pub(super) fn count(&self, fingerprint: &Fingerprint, now: Timestamp) -> u32 {
         let count = |counts: &HashMap<Fingerprint, u32>| counts.get(fingerprint).copied().unwrap_or(0);
         // Without records since then, both halves are too old.
         if now >= self.rotate_at.plus_millis(GENERATION_MS) {
-            return false;
+            return 0;
         }
         let previous = if now >= self.rotate_at { 0 } else { count(&self.previous) };
-        previous.saturating_add(count(&self.current)) >= ENOUGH
+        previous.saturating_add(count(&self.current))
     }
 
     fn rotate(&mut self, now: Timestamp) {
--- a/crates/fuchsiabay-balancer/tests/crashes.rs
+++ b/crates/fuchsiabay-balancer/tests/crashes.rs
@@ -95,6 +95,11 @@
         [Crash(1, 0, "a,bad,o1"), Crash(2, 4_000, "a,bad,o2"), Crash(3, 8_000, "a,bad,o3")],
         refused: ["a,bad,o4", "b,bad,o5"], served: ["a,o6", "a,other,o7"]
     );
+    /// Guards against the refusal of a sound part below the bad one, which servers rarely survive because it is rarely used.
+    part_with_fewer_survivals_is_refused(
+        [Survival(0, "x,b,o0"), Crash(1, 1, "bad,b,o1"), Crash(2, 4_000, "bad,b,o2"), Crash(3, 8_000, "bad,b,o3")],
+        refused: ["bad,b,o4", "bad,c,o5"], served: ["a,b,o6"]
+    );
     /// Guards against a quarantine of one deeper part after the other while the part above them is the bad one.
     part_above_many_others_is_refused(
         [Crash(1, 0, "bad,a,o1"), Crash(2, 4_000, "bad,b,o2"), Crash(3, 8_000, "bad,c,o3")],
