--- a/crates/fuchsiabay-gateway/src/request/forwarder.rs
+++ b/crates/fuchsiabay-gateway/src/request/forwarder.rs
@@ -7,7 +7,7 @@
 use fuchsiabay_runtime::{monotonic_now, sleep_until};
 use futures_lite::FutureExt;
 
-use super::{RequestOutcome, routed_request::RoutedRequest};
+use super::{RequestOutcome, routed_request::RoutedRequest, server_statements::record_statements};
 use crate::{
     backend::{Attempt, Failure, FailureKind, OutgoingRequest},
     caller::{Interrupt, LocalResponse, until_interrupted},
@@ -415,46 +415,3 @@
         RequestOutcome::Local(LocalResponse::bad_gateway(reason, self.verdict))
     }
 }
-
-/// Reports to the shard what the server states about itself in a response.
-fn record_statements(request: &RoutedRequest<'_>, server: &InstanceId, head: &ResponseHead) {
-    let header_names = request.gateway.settings.header_names;
-    if let Some(load) = head.headers.get(header_names.load) {
-        record_load(request, server, load);
-    }
-    record_rate_limit(request, server, head.headers.get(header_names.limit), head.is_success());
-}
-
-fn record_load(request: &RoutedRequest<'_>, server: &InstanceId, load: &str) {
-    let mut numbers = load.split(',').map(|part| part.trim().parse::<u32>());
-    let (Some(Ok(running)), Some(Ok(waiting))) = (numbers.next(), numbers.next()) else {
-        log::debug!("attempt: cannot parse load {load:?} of {server}");
-        return;
-    };
-    request.shard.set_server_load(server, running.saturating_add(waiting));
-}
-
-/// Sets or ends the limit of a server. A refusal without a limit does not end it, because it may come from the queue in front
-/// of the server.
-fn record_rate_limit(
-    request: &RoutedRequest<'_>,
-    server: &InstanceId,
-    limit: Option<&str>,
-    is_success: bool,
-) {
-    let had_limit = request.shard.has_rate_limit(server);
-    let per_s = limit.and_then(|limit| limit.trim().parse::<f64>().ok());
-    let per_s = per_s.filter(|per_s| per_s.is_finite() && *per_s >= 0.0);
-    if per_s.is_none() && !(had_limit && is_success) {
-        return;
-    }
-    let rank = request.gateway.neighbours().rank_at(server);
-    request.shard.set_rate_limit(server, per_s, rank);
-    if had_limit != per_s.is_some() {
-        log::info!(
-            service = request.shard.name().as_str(), server = server.as_str(), limit = limit.unwrap_or("none"),
-            rank = rank.rank, instances = rank.instances;
-            "limit: stated by a server"
-        );
-    }
-}
--- a/crates/fuchsiabay-gateway/src/request/mod.rs
+++ b/crates/fuchsiabay-gateway/src/request/mod.rs
@@ -5,6 +5,7 @@
 mod forwarder;
 mod response_head;
 mod routed_request;
+mod server_statements;
 mod stream;
 
 use std::sync::Arc;
