Do not take the stall of a group for a run that survived

The time without events is no evidence: the ranks stall after one of them has crashed. What counts is the time from the first to the last event, 0.5 s at least.

--- a/crates/fuchsiabay-gateway/src/request/forwarder.rs
+++ b/crates/fuchsiabay-gateway/src/request/forwarder.rs
@@ -37,9 +37,9 @@
 /// The interval at which a request in the queue checks whether it has become known to crash servers, in milliseconds.
 const QUEUE_POLL_INTERVAL_MS: u64 = 250;
 
-/// The time from the first event of a response after which its request is known not to crash the server, in milliseconds. It
-/// is shorter than the time for which a group stalls before it cuts off its streams because another rank has crashed.
-const SURVIVAL_MS: u64 = 1_000;
+/// The time from the first to the last event of a response at which its request is known not to crash the server, in
+/// milliseconds. Time without events does not count, because the ranks of a group stall after one of them has crashed.
+const SURVIVAL_MS: u64 = 500;
 
 /// The minimum time before the deadline for another attempt, in milliseconds.
 const MIN_ATTEMPT_MS: u64 = 20;
@@ -63,8 +63,8 @@
     unavailable_attempts: u32,
     /// Whether the retry that moves the request from a slow server was taken from the budget.
     has_taken_retry: bool,
-    /// When the current attempt received its first events.
-    first_event_at: Option<Timestamp>,
+    /// The time from the first to the last event that the current attempt received, in milliseconds.
+    progress_ms: u64,
 }
 
 impl<'a> Forwarder<'a> {
@@ -81,7 +81,7 @@
             waited_ms: 0,
             unavailable_attempts: 0,
             has_taken_retry: false,
-            first_event_at: None,
+            progress_ms: 0,
         }
     }
 
@@ -154,21 +154,21 @@
         // A response without a length also ends if its server crashes.
         let is_known_complete = head.framing != Framing::UntilClose;
         let now = monotonic_now();
-        if head.is_success() && (is_known_complete || self.has_run_long(now)) {
+        if head.is_success() && (is_known_complete || self.has_run_long()) {
             self.request.gateway.crashes().record_survival(&self.request.suspects, now);
         }
     }
 
-    /// Records that the current attempt received events.
-    pub(super) fn record_events(&mut self, now: Timestamp) {
-        self.first_event_at.get_or_insert(now);
+    /// Records the time from the first to the last event that the current attempt received.
+    pub(super) fn record_progress(&mut self, ms: u64) {
+        self.progress_ms = ms;
     }
 
     /// Records that the connection was lost before the response was complete. If the response had just begun, or not yet, the
     /// request may have crashed the server.
     fn record_lost_connection(&self, server: &Arc<ServerRecord>, now: Timestamp) {
         let suspects = &self.request.suspects;
-        if self.has_run_long(now) {
+        if self.has_run_long() {
             self.request.gateway.crashes().record_survival(suspects, now);
             return;
         }
@@ -180,9 +180,9 @@
         );
     }
 
-    /// Returns whether the current attempt received its first events so long ago that the request does not crash servers.
-    fn has_run_long(&self, now: Timestamp) -> bool {
-        self.first_event_at.is_some_and(|at| now.millis_since(at) >= SURVIVAL_MS)
+    /// Returns whether the current attempt received events for so long that the request does not crash servers.
+    const fn has_run_long(&self) -> bool {
+        self.progress_ms >= SURVIVAL_MS
     }
 
     /// Returns the outcome of a request that was interrupted before its response was complete.
@@ -289,7 +289,7 @@
         let request = self.request;
         let server = &slot.grant.server;
         self.tried.push(server.id.clone());
-        self.first_event_at = None;
+        self.progress_ms = 0;
         let sent_at = monotonic_now();
         let previous_verdict = self.verdict;
         let slow_at = self.slow_at();
--- a/crates/fuchsiabay-gateway/src/request/stream.rs
+++ b/crates/fuchsiabay-gateway/src/request/stream.rs
@@ -48,9 +48,7 @@
         let segment =
             until_interrupted(socket, request.deadline, relay.relay_segment(request, &mut attempt)).await;
         forwarder.is_resumption = relay.head_written;
-        if let Some(at) = relay.segment_event_at.take() {
-            forwarder.record_events(at);
-        }
+        forwarder.record_progress(relay.take_progress_ms());
         let segment = match segment {
             Ok(segment) => segment,
             Err(interrupt) => return forwarder.interrupted_outcome(interrupt),
@@ -132,7 +130,7 @@
     /// When events were last written to the caller.
     last_event_at: Option<Timestamp>,
     /// When the first events of the current segment were received.
-    segment_event_at: Option<Timestamp>,
+    segment_started_at: Option<Timestamp>,
     longest_gap_ms: u64,
 }
 
@@ -144,18 +142,26 @@
             head_written: false,
             out: Vec::new(),
             last_event_at: None,
-            segment_event_at: None,
+            segment_started_at: None,
             longest_gap_ms: 0,
         }
     }
 
     fn record_gap(&mut self) {
         let now = monotonic_now();
-        self.segment_event_at.get_or_insert(now);
+        self.segment_started_at.get_or_insert(now);
         let gap_ms = self.last_event_at.replace(now).map_or(0, |last| now.millis_since(last));
         self.longest_gap_ms = self.longest_gap_ms.max(gap_ms);
     }
 
+    /// Returns the time from the first to the last event of the segment that ended, in milliseconds.
+    fn take_progress_ms(&mut self) -> u64 {
+        match (self.segment_started_at.take(), self.last_event_at) {
+            (Some(first), Some(last)) => last.millis_since(first),
+            _ => 0,
+        }
+    }
+
     /// Relays the events of one server until its segment ends.
     async fn relay_segment(&mut self, request: &RoutedRequest<'_>, attempt: &mut Attempt) -> SegmentEnd {
         let mut bytes = Vec::new();
