Count the crash of a server soon after its group was cut off

Losses belong together within 1 s. For how long a response refutes a loss is a time of its own and stays at 3 s.

--- a/crates/fuchsiabay-balancer/src/crashes/commands.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/commands.rs
@@ -26,7 +26,7 @@
         let Some(crash) = self.crashes.get_mut(server) else {
             return;
         };
-        if !crash.is_refuted && sent_at >= crash.lost_at && crash.includes(now) {
+        if !crash.is_refuted && crash.is_refuted_by(sent_at, now) {
             crash.refute();
             self.verdicts.request_evaluation(now);
         }
--- a/crates/fuchsiabay-balancer/src/crashes/crash.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/crash.rs
@@ -8,7 +8,11 @@
 
 /// The time after the loss of its connections in which a server that responds is known not to have crashed, in
 /// milliseconds. Later, another process may respond.
-pub(super) const REFUTABLE_MS: u64 = 3_000;
+const REFUTABLE_MS: u64 = 3_000;
+
+/// The time within which losses of connections to a server belong together, in milliseconds. A group that was closed by the
+/// crash of one rank opens again, and another rank may crash, within 3 s of the loss of its connections.
+const SAME_LOSS_MS: u64 = 1_000;
 
 /// The time for which a server must not have responded before the loss of its connections counts as a crash, in
 /// milliseconds. The ranks of a closed group are checked within this time.
@@ -96,8 +100,13 @@
 
     /// Returns whether a connection lost at `lost_at` belongs to this loss.
     pub(super) fn includes(&self, lost_at: Timestamp) -> bool {
-        lost_at.millis_since(self.lost_at) <= REFUTABLE_MS
-            && self.lost_at.millis_since(lost_at) <= REFUTABLE_MS
+        lost_at.millis_since(self.lost_at) <= SAME_LOSS_MS
+            && self.lost_at.millis_since(lost_at) <= SAME_LOSS_MS
+    }
+
+    /// Returns whether a response to something sent at `sent_at` shows that the server did not crash.
+    pub(super) fn is_refuted_by(&self, sent_at: Timestamp, now: Timestamp) -> bool {
+        sent_at >= self.lost_at && now.millis_since(self.lost_at) <= REFUTABLE_MS
     }
 
     /// Returns the time from which the loss counts as a crash.
--- a/crates/fuchsiabay-balancer/tests/crashes.rs
+++ b/crates/fuchsiabay-balancer/tests/crashes.rs
@@ -153,6 +153,14 @@
         [Reset(1, 0, "a,o1"), Reset(2, 4_000, "a,o2"), Reset(3, 8_000, "a,o3")],
         refused: [], served: ["a,o4"]
     );
+    /// Guards against the crash of a rank that is not counted because its group was cut off before, when another rank crashed.
+    server_that_crashes_soon_after_it_was_cut_off_counts(
+        [
+            Crash(1, 0, "a,bad,o1"), Reset(2, 1_500, "a,o2"), Crash(2, 4_300, "b,bad,o3"),
+            Reset(3, 5_800, "a,o4"), Crash(3, 8_600, "c,bad,o5"),
+        ],
+        refused: ["a,bad,o6"], served: ["a,o7"]
+    );
     last_part_is_not_suspect(
         [Crash(1, 0, "a,own"), Crash(2, 4_000, "b,own"), Crash(3, 8_000, "c,own")],
         refused: [], served: ["d,own", "a,o1"]
