--- a/xtask/src/style.rs
+++ b/xtask/src/style.rs
@@ -47,7 +47,7 @@
 const GENERATION_FIELD: &str = "generation:";
 
 /// Names that belong to the users' platform.
-const PLATFORM_NAMES: [&str; 13] = [
+const PLATFORM_NAMES: [&str; 15] = [
     "Expect-Instance",
     "Server-Stamp",
     "Not-Executed",
@@ -55,6 +55,8 @@
     "Token-Count",
     "Length-Hint",
     "Server-Load",
+    "Server-Limit",
+    "Prompt-Prefix",
     "At-Server",
     "/fuchsiabay/",
     "log-append",
