--- a/crates/fuchsiabay-gateway/src/agent.rs
+++ b/crates/fuchsiabay-gateway/src/agent.rs
@@ -195,25 +195,25 @@
     /// in which case the call may still have taken effect.
     async fn handle(&self, head: &RequestHead, body: &[u8]) -> Option<CallResponse> {
         if head.target == "/state" {
-            return Some(CallResponse { status: 200, body: self.state().to_string().into_bytes() });
+            return Some(CallResponse::new(200, self.state().to_string().into_bytes()));
         }
         if head.target == "/metrics" {
-            return Some(CallResponse { status: 200, body: metrics_export::render().into_bytes() });
+            return Some(CallResponse::new(200, metrics_export::render().into_bytes()));
         }
         if head.target == DEMAND_PATH {
             return self.demand().await;
         }
         if !head.target.starts_with(self.settings.path_prefix) {
-            return Some(CallResponse { status: 404, body: Vec::new() });
+            return Some(CallResponse::new(404, Vec::new()));
         }
         let engine = match head.headers.get(TARGET_ENGINE_HEADER).map(str::parse) {
             None => self.settings.engine,
             Some(Ok(engine)) => engine,
-            Some(Err(_)) => return Some(CallResponse { status: 400, body: Vec::new() }),
+            Some(Err(_)) => return Some(CallResponse::new(400, Vec::new())),
         };
         let is_own_engine = engine == self.settings.engine;
         let Some(body) = decode_body(head, body) else {
-            return Some(CallResponse { status: 400, body: Vec::new() });
+            return Some(CallResponse::new(400, Vec::new()));
         };
         let content_type = head.headers.get("content-type").unwrap_or("application/json");
         let post = (head.method == "POST").then_some((content_type, body.as_ref()));
@@ -225,10 +225,10 @@
         let response = self.call(self.settings.engine, true, self.settings.counts_path, None).await?;
         let Some(counts) = (self.settings.decode_counts)(&response.body) else {
             log::info!(status = response.status; "agent: cannot decode the engine's token counts");
-            return Some(CallResponse { status: 502, body: Vec::new() });
+            return Some(CallResponse::new(502, Vec::new()));
         };
         let delta = self.demand.lock().advance(counts);
-        Some(CallResponse { status: 200, body: delta.encode() })
+        Some(CallResponse::new(200, delta.encode()))
     }
 
     /// Calls an engine. `post` holds the content type and the body of a POST request.
--- a/crates/fuchsiabay-gateway/src/client.rs
+++ b/crates/fuchsiabay-gateway/src/client.rs
@@ -7,7 +7,7 @@
 use futures_lite::FutureExt;
 use smol::net::TcpStream;
 
-use crate::http::{BodyError, BodyReader, BufferedSocket, ReadHeadError, ResponseHead};
+use crate::http::{BodyError, BodyReader, BufferedSocket, Headers, ReadHeadError, ResponseHead};
 
 /// Maximum size of a response body, in bytes. A page of the store's records takes a few megabytes.
 const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
@@ -47,6 +47,19 @@
     pub status: u16,
     /// The body.
     pub body: Vec<u8>,
+    headers: Headers,
+}
+
+impl CallResponse {
+    /// Creates a response without header fields.
+    pub(crate) fn new(status: u16, body: Vec<u8>) -> Self {
+        Self { status, body, headers: Headers::default() }
+    }
+
+    /// Returns the value of the header field `name`.
+    pub fn header<'a>(&'a self, name: &'a str) -> Option<&'a str> {
+        self.headers.get(name)
+    }
 }
 
 /// An HTTP client for one server.
@@ -139,7 +152,8 @@
     })?;
     let keep = head.keeps_alive && socket.buffered().is_empty();
     socket.release_buffer();
-    Ok((CallResponse { status: head.status, body: bytes }, keep.then_some(socket)))
+    let response = CallResponse { status: head.status, body: bytes, headers: head.headers };
+    Ok((response, keep.then_some(socket)))
 }
 
 /// Returns the idle connection unless its peer has closed it or sent data.
