Order changes of the directory across a restore of the store

Cause: each entry of the directory keeps the position of its last change, and a change at a lower position counts as repeated. After the store returns from a copy, offsets start again below those from before, and only changes of state are appended, so drains and removals can be ignored for hours. Class of fault: a number that the store gave out is compared across a restore.

Positions now carry the epoch of the store, and every position of an epoch is later than those of earlier epochs.

--- a/crates/fuchsiabay-balancer/src/directory.rs
+++ b/crates/fuchsiabay-balancer/src/directory.rs
@@ -5,7 +5,7 @@
 use fuchsiabay_base::{InstanceId, Timestamp, is_mechanism_enabled};
 use serde::{Deserialize, Serialize};
 
-use crate::{ServerRecord, ServerState};
+use crate::{ServerRecord, ServerState, StorePosition};
 
 /// How long after an outage of the store the entries that expired during it are kept, in milliseconds, so that their
 /// servers can register again.
@@ -33,14 +33,15 @@
     /// Whether the server has left.
     pub has_left: bool,
     /// The position in the store's change log that this entry reflects.
-    pub position: u64,
+    #[serde(flatten)]
+    pub position: StorePosition,
 }
 
 #[derive(Clone, Debug)]
 struct LocalEntry {
     record: Arc<ServerRecord>,
     /// The position in the store's change log that this entry reflects.
-    position: u64,
+    position: StorePosition,
     /// The time at which the server is considered to have left. `None` while its entry exists.
     departed_at: Option<Timestamp>,
     /// The directory revision of the last change of the entry.
@@ -61,13 +62,13 @@
     }
 
     /// Returns whether the entry reflects a later position than `position`.
-    fn is_after(&self, position: u64) -> bool {
-        self.position > position && is_mechanism_enabled("store-order")
+    fn is_after(&self, position: StorePosition) -> bool {
+        self.position.is_after(position) && is_mechanism_enabled("store-order")
     }
 
     /// Returns whether a heartbeat with `record` at `position` must not replace the entry.
-    fn is_newer_than(&self, record: &ServerRecord, position: u64) -> bool {
-        let is_repeated = position <= self.position && is_mechanism_enabled("store-order");
+    fn is_newer_than(&self, record: &ServerRecord, position: StorePosition) -> bool {
+        let is_repeated = !position.is_after(self.position) && is_mechanism_enabled("store-order");
         // A delayed heartbeat can arrive after later ones.
         let is_older =
             record.version_key() <= self.record.version_key() && is_mechanism_enabled("newest-record");
@@ -104,7 +105,7 @@
 
     /// Applies the change at `position` of the store's change log. Returns whether the set of usable servers or one of
     /// their records changed.
-    pub fn apply(&mut self, change: ServerChange, position: u64, now: Timestamp) -> bool {
+    pub fn apply(&mut self, change: ServerChange, position: StorePosition, now: Timestamp) -> bool {
         match change {
             ServerChange::Heartbeat(record) => self.heartbeat(record, position, now),
             ServerChange::Removed(id) => self.remove(&id, position, now),
@@ -124,7 +125,7 @@
     }
 
     /// Replaces the directory with the full listing at `position`. Servers missing from the listing are removed.
-    pub fn replace(&mut self, records: Vec<ServerRecord>, position: u64, now: Timestamp) {
+    pub fn replace(&mut self, records: Vec<ServerRecord>, position: StorePosition, now: Timestamp) {
         let missing: Vec<InstanceId> = self
             .entries
             .iter()
@@ -179,7 +180,7 @@
         changed
     }
 
-    fn heartbeat(&mut self, record: ServerRecord, position: u64, now: Timestamp) -> bool {
+    fn heartbeat(&mut self, record: ServerRecord, position: StorePosition, now: Timestamp) -> bool {
         if self.entries.get(&record.id).is_some_and(|entry| entry.is_newer_than(&record, position)) {
             return false;
         }
@@ -228,7 +229,7 @@
         was_known
     }
 
-    fn remove(&mut self, id: &InstanceId, position: u64, now: Timestamp) -> bool {
+    fn remove(&mut self, id: &InstanceId, position: StorePosition, now: Timestamp) -> bool {
         let Some(entry) = self.entries.get_mut(id) else {
             return false;
         };
--- a/crates/fuchsiabay-balancer/src/lib.rs
+++ b/crates/fuchsiabay-balancer/src/lib.rs
@@ -23,6 +23,7 @@
 mod route;
 mod route_table;
 mod server_record;
+mod store_position;
 mod workspace;
 
 pub use config::ServingConfig;
@@ -40,4 +41,5 @@
 pub use route::{Route, RouteKind, Target};
 pub use route_table::RouteTable;
 pub use server_record::{ServerRecord, ServerState};
+pub use store_position::StorePosition;
 pub use workspace::Workspace;
--- a/crates/fuchsiabay-balancer/tests/directory.rs
+++ b/crates/fuchsiabay-balancer/tests/directory.rs
@@ -1,38 +1,22 @@
 //! Updates of the directory that arrive late, repeatedly, out of order or not at all.
 
-use fuchsiabay_balancer::{Directory, DirectoryEntry, ServerChange, ServerRecord, ServerState};
-use fuchsiabay_base::{InstanceId, ServiceName, Timestamp, ZoneName};
+mod support;
 
-fn at(ms: u64) -> Timestamp {
-    Timestamp::from_millis(100_000 + ms)
-}
-
-fn heartbeat(id: &str, port: u16, started_at_ms: u64, seq: u64, state: ServerState) -> ServerChange {
-    ServerChange::Heartbeat(ServerRecord {
-        id: InstanceId::new(id),
-        service: ServiceName::new("s"),
-        address: ([127, 0, 0, 1], port).into(),
-        zone: ZoneName::new("z"),
-        slots: 4,
-        state,
-        started_at_ms,
-        seq,
-    })
-}
+use fuchsiabay_balancer::{Directory, DirectoryEntry, ServerChange, ServerState, StorePosition};
+use support::{at, heartbeat, ready_ids, removed};
 
-fn removed(id: &str) -> ServerChange {
-    ServerChange::Removed(InstanceId::new(id))
+/// Returns a position in the first epoch of the store.
+const fn pos(offset: u64) -> StorePosition {
+    StorePosition { epoch: 1, offset }
 }
 
 /// Applies `changes` and checks which servers are ready afterwards.
 fn check(changes: &[ServerChange], ready: &[&str]) {
     let mut directory = Directory::default();
     for (position, change) in (1..).zip(changes) {
-        directory.apply(change.clone(), position, at(0));
+        directory.apply(change.clone(), pos(position), at(0));
     }
-    let mut ids: Vec<_> = directory.ready(at(1)).map(|record| record.id.to_string()).collect();
-    ids.sort();
-    assert_eq!(ids, ready);
+    assert_eq!(ready_ids(&directory, at(1)), ready);
 }
 
 macro_rules! cases {
@@ -65,12 +49,12 @@
 #[test]
 fn expired_entries_are_kept_for_two_seconds_after_an_outage() {
     let mut directory = Directory::default();
-    directory.apply(heartbeat("a", 1, 1, 1, Ready), 1, at(0));
-    directory.apply(heartbeat("b", 2, 1, 1, Ready), 2, at(0));
+    directory.apply(heartbeat("a", 1, 1, 1, Ready), pos(1), at(0));
+    directory.apply(heartbeat("b", 2, 1, 1, Ready), pos(2), at(0));
     directory.record_outage_end(at(5_000));
-    directory.replace(Vec::new(), 3, at(5_000));
+    directory.replace(Vec::new(), pos(3), at(5_000));
     assert_eq!(directory.ready(at(6_900)).count(), 2);
-    directory.apply(heartbeat("a", 1, 1, 2, Ready), 4, at(6_500));
+    directory.apply(heartbeat("a", 1, 1, 2, Ready), pos(4), at(6_500));
     let ready: Vec<_> = directory.ready(at(7_100)).map(|record| record.id.to_string()).collect();
     assert_eq!(ready, ["a"]);
     assert!(directory.expire(at(7_100)), "the shards must be updated when a server has left");
@@ -87,7 +71,7 @@
     let ServerChange::Heartbeat(record) = change else {
         unreachable!("neighbours send records only");
     };
-    DirectoryEntry { record: record.clone(), has_left, position }
+    DirectoryEntry { record: record.clone(), has_left, position: pos(position) }
 }
 
 /// Applies `changes` and checks which servers are ready afterwards.
@@ -95,7 +79,7 @@
     let mut directory = Directory::default();
     for change in changes {
         match change {
-            Input::Store(position, change) => directory.apply(change.clone(), *position, at(0)),
+            Input::Store(position, change) => directory.apply(change.clone(), pos(*position), at(0)),
             Input::Record(position, change) => {
                 directory.merge(directory_entry(*position, change, false), at(0))
             }
@@ -104,7 +88,7 @@
             }
         };
     }
-    assert_eq!(ready_ids(&directory), ready);
+    assert_eq!(ready_ids(&directory, at(1)), ready);
 }
 
 fn a(seq: u64) -> ServerChange {
@@ -137,12 +121,6 @@
         &[Store(1, a(5)), Record(3, a(6)), Store(2, removed("a")), Store(3, a(6))], &["a"]);
 }
 
-fn ready_ids(directory: &Directory) -> Vec<String> {
-    let mut ids: Vec<_> = directory.ready(at(1)).map(|record| record.id.to_string()).collect();
-    ids.sort();
-    ids
-}
-
 /// Guards against sending every heartbeat to the neighbours, and against omitting one that changes the state.
 #[test]
 fn only_relevant_changes_are_sent_to_neighbours() {
@@ -151,14 +129,14 @@
     let (mut mark, mut position) = (0, 0);
     let mut send = |sender: &mut Directory, change: ServerChange, count: usize| {
         position += 1;
-        sender.apply(change, position, at(0));
+        sender.apply(change, pos(position), at(0));
         let changes = sender.changes_since(mark, at(0));
         assert_eq!(changes.len(), count);
         mark = sender.revision();
         for entry in changes {
             receiver.merge(entry, at(0));
         }
-        assert_eq!(ready_ids(&receiver), ready_ids(sender));
+        assert_eq!(ready_ids(&receiver, at(1)), ready_ids(sender, at(1)));
     };
     send(&mut sender, heartbeat("a", 1, 1, 1, Ready), 1);
     send(&mut sender, heartbeat("a", 1, 1, 2, Ready), 0);
@@ -175,7 +153,7 @@
     let mut pair = [Directory::default(), Directory::default()];
     let changes = [heartbeat("a", 1, 1, 3, Ready), heartbeat("b", 2, 1, 4, Draining), removed("a")];
     for (position, change) in (1..).zip(changes) {
-        pair[0].apply(change, position, at(0));
+        pair[0].apply(change, pos(position), at(0));
     }
     let mut marks = [0, 0];
     let mut counts = Vec::new();
@@ -189,7 +167,7 @@
         }
     }
     assert_eq!(counts[3..], [0, 0, 0], "changes sent per turn: {counts:?}");
-    assert_eq!(ready_ids(&pair[0]), ready_ids(&pair[1]));
+    assert_eq!(ready_ids(&pair[0], at(1)), ready_ids(&pair[1], at(1)));
 }
 
 /// Guards against a delayed update from a neighbour that removes the server which uses the address now. The clocks of the
@@ -197,11 +175,11 @@
 #[test]
 fn delayed_heartbeat_does_not_supersede_a_later_server() {
     let mut directory = Directory::default();
-    directory.apply(heartbeat("a", 1, 100, 1, Ready), 1, at(0));
-    directory.apply(removed("a"), 2, at(0));
-    directory.apply(heartbeat("b", 1, 90, 1, Ready), 3, at(1));
+    directory.apply(heartbeat("a", 1, 100, 1, Ready), pos(1), at(0));
+    directory.apply(removed("a"), pos(2), at(0));
+    directory.apply(heartbeat("b", 1, 90, 1, Ready), pos(3), at(1));
     let ServerChange::Heartbeat(record) = heartbeat("a", 1, 100, 1, Ready) else { unreachable!() };
-    directory.merge(DirectoryEntry { record, has_left: false, position: 1 }, at(2));
+    directory.merge(DirectoryEntry { record, has_left: false, position: pos(1) }, at(2));
     let ready: Vec<_> = directory.ready(at(3)).map(|record| record.id.to_string()).collect();
     assert_eq!(ready, ["b"]);
 }
--- a/crates/fuchsiabay-gateway/src/follow.rs
+++ b/crates/fuchsiabay-gateway/src/follow.rs
@@ -109,7 +109,7 @@
 fn apply_update(directory: &mut Directory, update: ServerUpdate, now: Timestamp) -> bool {
     match update {
         ServerUpdate::Listing { records, position } => {
-            log::info!(servers = records.len(), position; "directory: full listing received");
+            log::info!(servers = records.len(), position = position.offset, epoch = position.epoch; "directory: full listing received");
             directory.replace(records, position, now);
             true
         }
--- a/crates/fuchsiabay-gateway/src/source.rs
+++ b/crates/fuchsiabay-gateway/src/source.rs
@@ -2,7 +2,7 @@
 
 use std::{future::Future, net::SocketAddr};
 
-use fuchsiabay_balancer::{ServerChange, ServerRecord, ServingConfig};
+use fuchsiabay_balancer::{ServerChange, ServerRecord, ServingConfig, StorePosition};
 
 use crate::EngineControl;
 
@@ -41,10 +41,10 @@
         /// The newest record of each server.
         records: Vec<ServerRecord>,
         /// The position.
-        position: u64,
+        position: StorePosition,
     },
     /// The changes since the last update, each with its position.
-    Changes(Vec<(u64, ServerChange)>),
+    Changes(Vec<(StorePosition, ServerChange)>),
 }
 
 /// Source of the directory of backend servers.
--- a/crates/fuchsiabay-gateway/tests/support/platform.rs
+++ b/crates/fuchsiabay-gateway/tests/support/platform.rs
@@ -9,7 +9,7 @@
     time::Duration,
 };
 
-use fuchsiabay_balancer::{ServerRecord, ServingConfig};
+use fuchsiabay_balancer::{ServerRecord, ServingConfig, StorePosition};
 use fuchsiabay_gateway::{
     ConfigSource, ConfigUpdate, EngineControl, EngineError, MembershipSource, MembershipView, Platform,
     RankExperts, ServerSource, ServerUpdate, SourceError,
@@ -30,6 +30,8 @@
     pub members: Arc<Mutex<Vec<SocketAddr>>>,
     /// The number of directory listings, shared by all instances. It serves as the position of a listing.
     pub position: Arc<AtomicU64>,
+    /// How often the store has returned from a copy.
+    pub epoch: Arc<AtomicU64>,
     /// The number of reads of the configuration and the directory.
     pub reads: Arc<AtomicUsize>,
 }
@@ -65,7 +67,8 @@
         self.platform.reads.fetch_add(1, Ordering::Relaxed);
         self.check()?;
         let servers = self.platform.servers.lock().unwrap();
-        let position = self.platform.position.fetch_add(1, Ordering::Relaxed) + 1;
+        let offset = self.platform.position.fetch_add(1, Ordering::Relaxed) + 1;
+        let position = StorePosition { epoch: self.platform.epoch.load(Ordering::Relaxed), offset };
         Ok(ServerUpdate::Listing { records: servers.clone(), position })
     }
 }
--- a/crates/fuchsiabay-prove/src/mechanism.rs
+++ b/crates/fuchsiabay-prove/src/mechanism.rs
@@ -108,6 +108,11 @@
         "off: a directory entry replaces one with a later position in the store's change log",
         Promise::SharedNews,
     ),
+    mechanism(
+        "store-epoch",
+        "off: positions are compared as if the store had never returned from a copy",
+        Promise::SharedNews,
+    ),
     mechanism(
         "total-tokens",
         "off: the end of an attempt counts as the end of the answer",
--- a/crates/fuchsiabay-prove/src/neighbour_instance.rs
+++ b/crates/fuchsiabay-prove/src/neighbour_instance.rs
@@ -4,7 +4,7 @@
 
 use fuchsiabay_balancer::{
     CallerLimits, ConfigSlot, Directory, DirectoryEntry, Freshness, IndexedConfig, Neighbours, ServingConfig,
-    SharedState, StateMark,
+    SharedState, StateMark, StorePosition,
 };
 use fuchsiabay_base::Timestamp;
 
@@ -43,8 +43,8 @@
     pub(crate) next_config_request_ms: u64,
     pub(crate) next_directory_request_ms: u64,
     pub(crate) next_round_ms: u64,
-    /// The offset up to which the store's change log was read, and when.
-    pub(crate) offset: Option<(usize, u64)>,
+    /// The position up to which the store's change log was read, and when.
+    pub(crate) read_to: Option<(StorePosition, u64)>,
     /// Whether the last request for the directory has failed.
     pub(crate) directory_request_failed: bool,
 }
@@ -69,7 +69,7 @@
             next_config_request_ms: now_ms,
             next_directory_request_ms: now_ms,
             next_round_ms: now_ms,
-            offset: None,
+            read_to: None,
             directory_request_failed: false,
         }
     }
--- a/crates/fuchsiabay-prove/src/neighbour_script.rs
+++ b/crates/fuchsiabay-prove/src/neighbour_script.rs
@@ -47,6 +47,15 @@
         /// How long it lasts, in milliseconds.
         ms: u64,
     },
+    /// The store is down and returns from a copy.
+    Restore {
+        /// The age of the copy, in milliseconds.
+        age_ms: u64,
+        /// How long the store is down, in milliseconds.
+        ms: u64,
+        /// The time within which the operator and the servers write again what was lost, in milliseconds.
+        rewrite_ms: u64,
+    },
     /// An instance is killed and restarts without state.
     Kill {
         /// The instance.
@@ -103,7 +112,12 @@
     fn fault(rng: &mut fastrand::Rng) -> Self {
         let ms = rng.u64(300..6_000);
         let instance = rng.usize(0..INSTANCES);
-        match rng.u8(0..8) {
+        match rng.u8(0..10) {
+            8 | 9 => Self::Restore {
+                age_ms: rng.u64(500..12_000),
+                ms: rng.u64(0..2_500),
+                rewrite_ms: rng.u64(0..1_500),
+            },
             0..=2 => Self::TurnAway { instance, ms },
             3 => Self::StoreOutage { ms },
             4 | 5 => Self::Kill { instance, ms },
--- a/crates/fuchsiabay-prove/src/neighbour_world.rs
+++ b/crates/fuchsiabay-prove/src/neighbour_world.rs
@@ -96,6 +96,11 @@
                 self.store_down_until_ms = now_ms + ms;
                 self.store_up_since_ms = now_ms + ms;
             }
+            NeighbourAction::Restore { age_ms, ms, rewrite_ms } => {
+                self.store.restore(age_ms, rewrite_ms, now_ms);
+                self.store_down_until_ms = self.store_down_until_ms.max(now_ms + ms);
+                self.store_up_since_ms = self.store_up_since_ms.max(now_ms + ms.max(rewrite_ms));
+            }
             NeighbourAction::Kill { instance, ms } => {
                 let instance = &mut self.instances[instance % INSTANCES];
                 instance.is_alive = false;
@@ -114,6 +119,7 @@
 
     fn tick(&mut self, now_ms: u64) {
         self.store.write_heartbeats(now_ms);
+        self.store.write_lost(now_ms);
         for i in 0..INSTANCES {
             if self.instances[i].is_unavailable(now_ms) {
                 self.instances[i].up_since_ms = now_ms;
@@ -151,7 +157,7 @@
             }
             return;
         };
-        let (can_reach_store, version) = (self.can_reach_store(i, now_ms), self.store.version);
+        let (can_reach_store, version) = (self.can_reach_store(i, now_ms), self.store.stored_version());
         let instance = &mut self.instances[i];
         let waited_ms = now_ms - sent_at_ms;
         if can_reach_store && version > instance.serving.version() {
@@ -197,21 +203,16 @@
         if had_failed && !instance.freshness.is_fresh(SharedState::Directory, now) {
             instance.directory.record_outage_end(now);
         }
-        let offset = match instance.offset.filter(|(_, read_at_ms)| now_ms < read_at_ms + RESUME_WINDOW_MS) {
-            Some((offset, _)) => {
-                let (changes, offset) = self.store.read(offset);
+        let resumed = instance.read_to.filter(|(_, read_at_ms)| now_ms < read_at_ms + RESUME_WINDOW_MS);
+        match resumed.and_then(|(position, _)| self.store.read(position)) {
+            Some(changes) => {
                 for (position, change) in changes {
-                    instance.directory.apply(change.clone(), *position, now);
+                    instance.directory.apply(change.clone(), position, now);
                 }
-                offset
-            }
-            None => {
-                let (listing, offset) = self.store.listing();
-                instance.directory.replace(listing, offset as u64, now);
-                offset
             }
-        };
-        instance.offset = Some((offset, now_ms));
+            None => instance.directory.replace(self.store.listing(), self.store.end(), now),
+        }
+        instance.read_to = Some((self.store.end(), now_ms));
         instance.freshness.confirm(SharedState::Directory, Timestamp::from_millis(sent_at_ms), 0);
         instance.directory_request = None;
         instance.next_directory_request_ms = now_ms + DIRECTORY_POLL_INTERVAL_MS;
