Give servers time to register again after a restore of the store

Callers could be refused although servers were there: a server that had registered after the copy was made was dropped as soon as an instance read the listing of the restored store, until it wrote its record again.

Cause: entries that are missing after an outage are kept for 2 s, but an instance that notices no outage (the store was away between two of its reads, or others read it) gave no such time. The directory now records the latest epoch that it knows, from its own reads or from a neighbour, and treats a later one as the end of an outage.

Evidence: `servers_missing_after_a_restore_are_kept_for_two_seconds` failed before. `/state` shows `store_epoch`.

--- a/crates/fuchsiabay-balancer/src/directory.rs
+++ b/crates/fuchsiabay-balancer/src/directory.rs
@@ -89,8 +89,10 @@
 #[derive(Debug, Default)]
 pub struct Directory {
     entries: HashMap<InstanceId, LocalEntry>,
-    /// When this instance could reach the store again after its last outage.
+    /// When this instance could reach the store again after its last outage, or learned that the store was restored.
     outage_ended_at: Option<Timestamp>,
+    /// The latest known epoch of the store.
+    epoch: Option<u64>,
     /// When `expire` was last called.
     last_expire_at: Timestamp,
     /// The number of changes so far. A heartbeat in which only the sequence number differs does not count.
@@ -103,9 +105,20 @@
         self.outage_ended_at = Some(now);
     }
 
+    /// Records that the store has reached `epoch`. If it was restored since, servers that have registered after the copy was made
+    /// need time to register again.
+    pub fn record_epoch(&mut self, epoch: u64, now: Timestamp) {
+        let known = *self.epoch.get_or_insert(epoch);
+        if epoch > known {
+            self.epoch = Some(epoch);
+            self.record_outage_end(now);
+        }
+    }
+
     /// Applies the change at `position` of the store's change log. Returns whether the set of usable servers or one of
     /// their records changed.
     pub fn apply(&mut self, change: ServerChange, position: StorePosition, now: Timestamp) -> bool {
+        self.record_epoch(position.epoch, now);
         match change {
             ServerChange::Heartbeat(record) => self.heartbeat(record, position, now),
             ServerChange::Removed(id) => self.remove(&id, position, now),
@@ -126,6 +139,7 @@
 
     /// Replaces the directory with the full listing at `position`. Servers missing from the listing are removed.
     pub fn replace(&mut self, records: Vec<ServerRecord>, position: StorePosition, now: Timestamp) {
+        self.record_epoch(position.epoch, now);
         let missing: Vec<InstanceId> = self
             .entries
             .iter()
@@ -152,6 +166,11 @@
         self.entries.values().filter(move |entry| !entry.has_left(now)).map(|entry| &entry.record)
     }
 
+    /// Returns the latest known epoch of the store.
+    pub const fn epoch(&self) -> Option<u64> {
+        self.epoch
+    }
+
     /// Returns the current revision.
     pub const fn revision(&self) -> u64 {
         self.revision
--- a/crates/fuchsiabay-balancer/tests/restored_directory.rs
+++ b/crates/fuchsiabay-balancer/tests/restored_directory.rs
@@ -76,3 +76,17 @@
     removal_from_before_the_restore_is_ignored(vec![
         Change(2, 58, heartbeat("a", 1, 1, 6, Ready)), Change(1, 70, removed("a"))], &["a"]);
 }
+
+/// Guards against dropping servers that have registered since the copy was made and have not registered again yet.
+#[test]
+fn servers_missing_after_a_restore_are_kept_for_two_seconds() {
+    let mut directory = Directory::default();
+    apply(&mut directory, Listing(1, 70, vec![a(5, Ready)]), 0);
+    apply(&mut directory, Listing(2, 58, vec![]), 700);
+    assert_eq!(ready_ids(&directory, at(2_600)), ["a"]);
+    apply(&mut directory, Listing(2, 59, vec![]), 2_600);
+    assert!(ready_ids(&directory, at(2_800)).is_empty());
+    apply(&mut directory, Change(2, 60, heartbeat("a", 1, 1, 6, Ready)), 9_000);
+    apply(&mut directory, Listing(2, 61, vec![]), 9_100);
+    assert!(ready_ids(&directory, at(9_101)).is_empty(), "kept although the store was not restored");
+}
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -259,6 +259,7 @@
                 mark: StateMark { source: self.state_source, revision: directory.revision() },
                 changes: directory.changes_since(revision_of(mark), monotonic_now()),
                 age_ms: freshness.age_ms(SharedState::Directory, now),
+                store_epoch: directory.epoch(),
             },
             loads: self.own_loads(),
             crashes: Some(CrashUpdate {
@@ -315,6 +316,7 @@
             "instances": self.instance_count(),
             "coordinates": self.coordinator_lease.is_held(),
             "reads_store": self.neighbours().is_reader(),
+            "store_epoch": self.directory.lock().epoch(),
             "connections": self.open_connections.load(Ordering::Relaxed),
             "running_requests": self.running_requests(),
             "pools": pools,
--- a/crates/fuchsiabay-gateway/src/neighbours/exchange.rs
+++ b/crates/fuchsiabay-gateway/src/neighbours/exchange.rs
@@ -107,6 +107,9 @@
     let records = update.changes.len();
     let mut changed = 0;
     gateway.change_directory(|directory, now| {
+        if let Some(epoch) = update.store_epoch {
+            directory.record_epoch(epoch, now);
+        }
         changed = update
             .changes
             .into_iter()
--- a/crates/fuchsiabay-gateway/src/neighbours/service.rs
+++ b/crates/fuchsiabay-gateway/src/neighbours/service.rs
@@ -76,6 +76,9 @@
     pub(crate) changes: Vec<DirectoryEntry>,
     /// Time since the directory was confirmed to be current. None if it is not confirmed.
     pub(crate) age_ms: Option<u64>,
+    /// The latest epoch of the store that the called instance knows, if any.
+    #[serde(default)]
+    pub(crate) store_epoch: Option<u64>,
 }
 
 /// RPC methods that are called by other entry instances.
--- a/crates/fuchsiabay-prove/src/neighbour_instance.rs
+++ b/crates/fuchsiabay-prove/src/neighbour_instance.rs
@@ -15,6 +15,7 @@
     mark: StateMark,
     changes: Vec<DirectoryEntry>,
     directory_age_ms: Option<u64>,
+    store_epoch: Option<u64>,
 }
 
 /// A request to which the store has not responded yet.
@@ -108,6 +109,7 @@
             mark: StateMark { source: self.source, revision: self.directory.revision() },
             changes: self.directory.changes_since(since, now),
             directory_age_ms: self.freshness.age_ms(SharedState::Directory, now),
+            store_epoch: self.directory.epoch(),
         }
     }
 
@@ -120,6 +122,9 @@
     ) -> (u64, u64) {
         self.neighbours.record_exchange(addr, response.version, HashMap::new(), now);
         let versions = if response.version > 0 { self.apply_config(response.version) } else { (0, 0) };
+        if let Some(epoch) = response.store_epoch {
+            self.directory.record_epoch(epoch, now);
+        }
         for entry in response.changes {
             self.directory.merge(entry, now);
         }
