Agree on servers that a restored store lists or lacks

Callers could be refused, or sent to servers that had left, at single instances for as long as the entry of the server did not change.

Causes, found by the randomised runs that restore the store, all of one kind: after a restore, what an entry says must be told and accepted again although its record is the one that is known. - A server that wrote the same record again after it was dropped was not used: an equal record counted as repeated. It is accepted now if the entry was removed in the same epoch and no other server uses the address. - Instances that read the listing at different moments differ: one drops a server, or takes one from the copy that has left. The neighbour that knows better sent only changes, and there was none. The first confirmation of an entry in an epoch is a change now, so each entry is sent once more after a restore.

Evidence: `server_that_writes_the_same_record_again_is_used`, `neighbour_that_has_read_the_same_record_again_is_believed`, `server_that_a_neighbour_lists_after_the_restore_is_used` and `departure_that_a_neighbour_reads_again_after_the_restore_is_applied` failed before.

--- a/crates/fuchsiabay-balancer/src/directory.rs
+++ b/crates/fuchsiabay-balancer/src/directory.rs
@@ -1,6 +1,6 @@
 //! This instance's view of the directory of backend servers.
 
-use std::{collections::HashMap, sync::Arc};
+use std::{cmp::Ordering, collections::HashMap, sync::Arc};
 
 use fuchsiabay_base::{InstanceId, Timestamp, is_mechanism_enabled};
 use serde::{Deserialize, Serialize};
@@ -70,8 +70,12 @@
     fn is_newer_than(&self, record: &ServerRecord, position: StorePosition) -> bool {
         let is_repeated = !position.is_after(self.position) && is_mechanism_enabled("store-order");
         // A delayed heartbeat can arrive after later ones.
-        let is_older =
-            record.version_key() <= self.record.version_key() && is_mechanism_enabled("newest-record");
+        let is_older = match record.version_key().cmp(&self.record.version_key()) {
+            Ordering::Less => true,
+            Ordering::Equal => !self.was_removed_in(position),
+            Ordering::Greater => false,
+        };
+        let is_older = is_older && is_mechanism_enabled("newest-record");
         // A draining server does not become ready again until it restarts.
         let is_draining = self.record.state == ServerState::Draining
             && record.started_at_ms == self.record.started_at_ms
@@ -80,6 +84,20 @@
         is_repeated || is_older || is_draining
     }
 
+    /// Returns whether the entry was removed in the epoch of `position`. A server may then write the same record again.
+    fn was_removed_in(&self, position: StorePosition) -> bool {
+        self.departed_at.is_some() && position.is_same_epoch(self.position)
+    }
+
+    /// Records that the store was restored and still lists the server, or has removed it again, at `position`. Neighbours may have
+    /// read the opposite from the copy, so the entry is sent to them again.
+    fn confirm(&mut self, position: StorePosition, revision: &mut u64) {
+        if position.is_after(self.position) && !position.is_same_epoch(self.position) {
+            self.position = position;
+            self.mark_changed(revision);
+        }
+    }
+
     fn has_left(&self, now: Timestamp) -> bool {
         self.departed_at.is_some_and(|at| at <= now)
     }
@@ -144,7 +162,8 @@
             .entries
             .iter()
             .filter(|(id, entry)| {
-                entry.departed_at.is_none() && records.iter().all(|record| record.id != **id)
+                let is_confirmed = entry.departed_at.is_some() && position.is_same_epoch(entry.position);
+                !is_confirmed && records.iter().all(|record| record.id != **id)
             })
             .map(|(id, _)| id.clone())
             .collect();
@@ -200,7 +219,15 @@
     }
 
     fn heartbeat(&mut self, record: ServerRecord, position: StorePosition, now: Timestamp) -> bool {
-        if self.entries.get(&record.id).is_some_and(|entry| entry.is_newer_than(&record, position)) {
+        if let Some(entry) = self.entries.get_mut(&record.id)
+            && entry.is_newer_than(&record, position)
+        {
+            if entry.departed_at.is_none() {
+                entry.confirm(position, &mut self.revision);
+            }
+            return false;
+        }
+        if self.has_successor(&record) {
             return false;
         }
         self.supersede(&record, now);
@@ -212,6 +239,7 @@
             return true;
         };
         let only_seq_changed = entry.departed_at.is_none() && record.eq_ignoring_seq(&entry.record);
+        entry.confirm(position, &mut self.revision);
         (entry.record, entry.position) = (Arc::new(record), position);
         entry.departed_at = None;
         if !only_seq_changed {
@@ -233,6 +261,18 @@
         }
     }
 
+    /// Returns whether `record` is the known one of a departed server whose address another server uses now. The entry of a
+    /// crashed server remains in the store for seconds.
+    fn has_successor(&self, record: &ServerRecord) -> bool {
+        let is_known = self.entries.get(&record.id).is_some_and(|entry| *entry.record == *record);
+        let is_successor = |entry: &LocalEntry| {
+            entry.departed_at.is_none()
+                && entry.record.address == record.address
+                && entry.record.started_at_ms > record.started_at_ms
+        };
+        is_known && self.entries.values().any(is_successor)
+    }
+
     /// Removes a server that has left according to a neighbour. Keeps the later of the two records, so that an older
     /// one cannot add the server again.
     fn apply_departure(&mut self, update: DirectoryEntry, now: Timestamp) -> bool {
@@ -252,7 +292,11 @@
         let Some(entry) = self.entries.get_mut(id) else {
             return false;
         };
-        if entry.departed_at.is_some() || entry.is_after(position) {
+        if entry.is_after(position) {
+            return false;
+        }
+        if entry.departed_at.is_some() {
+            entry.confirm(position, &mut self.revision);
             return false;
         }
         entry.position = position;
--- a/crates/fuchsiabay-balancer/tests/restored_directory.rs
+++ b/crates/fuchsiabay-balancer/tests/restored_directory.rs
@@ -77,6 +77,58 @@
         Change(2, 58, heartbeat("a", 1, 1, 6, Ready)), Change(1, 70, removed("a"))], &["a"]);
 }
 
+// Guards against a server that is never used again, or a server that has left and is used again, because its record stands in the
+// store once more.
+cases! {
+    server_that_writes_the_same_record_again_is_used(vec![
+        Listing(1, 70, vec![a(5, Ready)]), Listing(2, 58, vec![]), Change(2, 60, heartbeat("a", 1, 1, 5, Ready))], &["a"]);
+    neighbour_that_has_read_the_same_record_again_is_believed(vec![
+        Listing(1, 70, vec![a(5, Ready)]), Listing(2, 58, vec![]), Record(2, 60, a(5, Ready))], &["a"]);
+    server_that_left_before_the_restore_stays_unused(vec![
+        Change(1, 60, heartbeat("a", 1, 1, 5, Ready)), Change(1, 70, removed("a")), Listing(2, 58, vec![a(5, Ready)]),
+        Listing(2, 59, vec![a(5, Ready)])], &[]);
+    superseded_server_stays_unused(vec![
+        Listing(1, 70, vec![a(5, Ready)]), Change(1, 71, heartbeat("b", 1, 2, 1, Ready)),
+        Listing(1, 71, vec![a(5, Ready), record("b", 1, 2, 1, Ready)]),
+        Listing(2, 58, vec![a(5, Ready), record("b", 1, 2, 1, Ready)]),
+        Listing(2, 59, vec![a(5, Ready), record("b", 1, 2, 1, Ready)])], &["b"]);
+    removed_server_with_a_successor_stays_unused(vec![
+        Listing(1, 70, vec![a(5, Ready)]), Listing(2, 58, vec![]), Change(2, 59, heartbeat("b", 1, 2, 1, Ready)),
+        Change(2, 60, heartbeat("a", 1, 1, 5, Ready))], &["b"]);
+}
+
+/// Applies `early` to one instance, and `late` to another one that has sent everything before. Checks which servers are ready at
+/// the first one after it has received what changed.
+fn check_exchange(early: Vec<Input>, before: Vec<Input>, late: Vec<Input>, ready: &[&str]) {
+    let (mut receiver, mut sender) = (Directory::default(), Directory::default());
+    before.into_iter().for_each(|input| apply(&mut sender, input, 0));
+    let mark = sender.revision();
+    early.into_iter().for_each(|input| apply(&mut receiver, input, 0));
+    late.into_iter().for_each(|input| apply(&mut sender, input, 0));
+    for entry in sender.changes_since(mark, at(SETTLED_MS)) {
+        receiver.merge(entry, at(SETTLED_MS));
+    }
+    assert_eq!(ready_ids(&receiver, at(SETTLED_MS)), ready);
+}
+
+/// Guards against an instance that drops a server for ever, because it has read a listing from before the server had written its
+/// record again and its neighbour sends only what has changed.
+#[test]
+fn server_that_a_neighbour_lists_after_the_restore_is_used() {
+    let before = vec![Listing(1, 70, vec![a(5, Ready)])];
+    let early = vec![Listing(1, 70, vec![a(5, Ready)]), Listing(2, 58, vec![])];
+    check_exchange(early, before, vec![Listing(2, 60, vec![a(5, Ready)])], &["a"]);
+}
+
+/// Guards against an instance that uses a departed server for ever, because the listed record is newer than the one it knows and
+/// its neighbour has sent the departure before.
+#[test]
+fn departure_that_a_neighbour_reads_again_after_the_restore_is_applied() {
+    let before = vec![Change(1, 60, heartbeat("a", 1, 1, 15, Ready)), Change(1, 70, removed("a"))];
+    let early = vec![Departure(1, 70, a(2, Ready)), Listing(2, 58, vec![a(9, Ready)])];
+    check_exchange(early, before, vec![Listing(2, 60, vec![])], &[]);
+}
+
 /// Guards against dropping servers that have registered since the copy was made and have not registered again yet.
 #[test]
 fn servers_missing_after_a_restore_are_kept_for_two_seconds() {
