Ask neighbours for all servers after a listing lacked one

Callers could be refused, or sent elsewhere, at single instances: a server that had returned was not used there for as long as nothing but its sequence number changed.

Cause: an instance reads a listing that lacks the server and drops it. The reader that informs it reads the store only after the server has returned. For the reader nothing has changed, so it sends nothing. Whoever drops a server because a listing lacks it asks for the whole directories once, after the 2 s within which servers return.

Evidence: `neighbours_are_asked_for_all_servers_after_one_was_missing` fails without it ([] instead of ["a"]).

Tried and not kept: sending every entry once more after an outage. The reader had noticed none, as another instance had read the store before.

--- a/crates/fuchsiabay-balancer/src/directory.rs
+++ b/crates/fuchsiabay-balancer/src/directory.rs
@@ -109,6 +109,8 @@
     entries: HashMap<InstanceId, LocalEntry>,
     /// When this instance could reach the store again after its last outage, or learned that the store was restored.
     outage_ended_at: Option<Timestamp>,
+    /// When to ask the neighbours for their whole directories, because a listing lacked a server.
+    recheck_at: Option<Timestamp>,
     /// The latest known epoch of the store.
     epoch: Option<u64>,
     /// When `expire` was last called.
@@ -167,6 +169,9 @@
             })
             .map(|(id, _)| id.clone())
             .collect();
+        if !missing.is_empty() {
+            self.recheck_at = Some(now.plus_millis(EXPIRY_GRACE_MS));
+        }
         for id in missing {
             self.remove(&id, position, now);
         }
@@ -203,6 +208,12 @@
         changed.map(|entry| entry.to_directory_entry(now)).collect()
     }
 
+    /// Returns whether it is time to ask the neighbours for their whole directories. A neighbour that read a missing server's
+    /// return without having noticed that it was missing sends no change.
+    pub fn take_recheck(&mut self, now: Timestamp) -> bool {
+        self.recheck_at.take_if(|at| *at <= now).is_some()
+    }
+
     /// Drops the records of servers that left at least `TOMBSTONE_MS` ago. Returns whether a server has left since the
     /// last call.
     pub fn expire(&mut self, now: Timestamp) -> bool {
--- a/crates/fuchsiabay-balancer/src/neighbours/table.rs
+++ b/crates/fuchsiabay-balancer/src/neighbours/table.rs
@@ -114,6 +114,11 @@
         self.neighbours.get(&addr)?.mark
     }
 
+    /// Forgets which changes of the neighbours' directories were received, so that the whole directories are received next.
+    pub fn clear_marks(&mut self) {
+        self.neighbours.values_mut().for_each(|neighbour| neighbour.mark = None);
+    }
+
     /// Records an exchange of crashes with the instance at `addr`: those of the neighbour were received up to `mark`, and those
     /// of this instance were sent up to the revision `sent`.
     pub fn record_crash_exchange(&mut self, addr: SocketAddr, mark: StateMark, sent: u64) {
--- a/crates/fuchsiabay-balancer/tests/directory.rs
+++ b/crates/fuchsiabay-balancer/tests/directory.rs
@@ -183,3 +183,26 @@
     let ready: Vec<_> = directory.ready(at(3)).map(|record| record.id.to_string()).collect();
     assert_eq!(ready, ["b"]);
 }
+
+/// Guards against an instance that never uses a server again: its listing lacks the server, and the neighbour reads the return
+/// without having noticed the absence, so that nothing has changed for it.
+#[test]
+fn neighbours_are_asked_for_all_servers_after_one_was_missing() {
+    let (mut reader, mut other) = (Directory::default(), Directory::default());
+    for directory in [&mut reader, &mut other] {
+        directory.apply(heartbeat("a", 1, 1, 5, Ready), pos(33), at(0));
+    }
+    let mut mark = reader.revision();
+    other.replace(Vec::new(), pos(49), at(100));
+    reader.replace(vec![support::record("a", 1, 1, 6, Ready)], pos(52), at(200));
+    for ms in (300..4_000).step_by(250) {
+        if other.take_recheck(at(ms)) {
+            mark = 0;
+        }
+        for entry in reader.changes_since(mark, at(ms)) {
+            other.merge(entry, at(ms));
+        }
+        mark = reader.revision();
+    }
+    assert_eq!(ready_ids(&other, at(4_000)), ["a"]);
+}
--- a/crates/fuchsiabay-gateway/src/follow.rs
+++ b/crates/fuchsiabay-gateway/src/follow.rs
@@ -98,7 +98,7 @@
         let has_paced_jobs = gateway.shards().iter().any(|shard| shard.has_paced_jobs());
         Timer::after(if has_paced_jobs { PACED_INTERVAL } else { HOUSEKEEPING_INTERVAL }).await;
         let now = monotonic_now();
-        gateway.change_directory(|directory, now| directory.expire(now));
+        gateway.expire_directory();
         for shard in gateway.shards() {
             shard.run_housekeeping();
         }
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -154,6 +154,19 @@
         }
     }
 
+    /// Drops expired entries of the directory, and asks the neighbours for their whole directories if it may lack a server.
+    pub(crate) fn expire_directory(&self) {
+        let mut needs_recheck = false;
+        self.change_directory(|directory, now| {
+            needs_recheck = directory.take_recheck(now);
+            directory.expire(now)
+        });
+        if needs_recheck {
+            log::info!("directory: a listing lacked servers, asking the neighbours for all");
+            self.neighbours().clear_marks();
+        }
+    }
+
     /// Records that the directory has been read completely at least once.
     pub(crate) fn set_directory_known(&self) {
         self.directory_is_known.store(true, Ordering::Relaxed);
--- a/crates/fuchsiabay-prove/src/neighbour_instance.rs
+++ b/crates/fuchsiabay-prove/src/neighbour_instance.rs
@@ -79,6 +79,13 @@
         self.unavailable_until_ms > now_ms
     }
 
+    pub(crate) fn expire(&mut self, now: Timestamp) {
+        self.directory.expire(now);
+        if self.directory.take_recheck(now) {
+            self.neighbours.clear_marks();
+        }
+    }
+
     pub(crate) fn is_stale(&self, now: Timestamp) -> bool {
         let is_unconfirmed = |state| !self.freshness.is_fresh(state, now);
         self.serving.version() == 0
--- a/crates/fuchsiabay-prove/src/neighbour_world.rs
+++ b/crates/fuchsiabay-prove/src/neighbour_world.rs
@@ -129,7 +129,7 @@
                 let source = self.rng.u64(..);
                 self.instances[i] = NeighbourInstance::start(self.members[i], &self.members, source, now_ms);
             }
-            self.instances[i].directory.expire(Timestamp::from_millis(now_ms));
+            self.instances[i].expire(Timestamp::from_millis(now_ms));
             self.request_config(i, now_ms);
             self.request_directory(i, now_ms);
             self.call_neighbours(i, now_ms);
