Keep what neighbours knew of servers before a restore

Callers could be sent to a server that drains or has left: an instance that starts after a restore reads the record of the copy, and what its neighbours know from before the restore counted as outdated.

Cause: a position from before the restore is earlier than every later one, but the records of one server are ordered by the server itself, also across a restore. A drain that is newer by that order is applied now, and a departure is applied unless the server has written since. Departures that the restored store states still override them.

The gateway test `drain_after_a_restore_reaches_an_instance_without_the_store` covers the exchange of the epoch; it passes since positions carry it.

--- a/crates/fuchsiabay-balancer/src/directory.rs
+++ b/crates/fuchsiabay-balancer/src/directory.rs
@@ -68,7 +68,10 @@
 
     /// Returns whether a heartbeat with `record` at `position` must not replace the entry.
     fn is_newer_than(&self, record: &ServerRecord, position: StorePosition) -> bool {
-        let is_repeated = !position.is_after(self.position) && is_mechanism_enabled("store-order");
+        // The heartbeats of a server are in order across restores, so what a neighbour has read before one is still news.
+        let is_comparable = self.departed_at.is_some() || position.is_same_epoch(self.position);
+        let is_repeated =
+            is_comparable && !position.is_after(self.position) && is_mechanism_enabled("store-order");
         // A delayed heartbeat can arrive after later ones.
         let is_older = match record.version_key().cmp(&self.record.version_key()) {
             Ordering::Less => true,
@@ -84,6 +87,14 @@
         is_repeated || is_older || is_draining
     }
 
+    /// Returns whether the entry is not affected by a neighbour's `departure`. One from before a restore still applies to a server
+    /// that the copy lists, unless the server has written since.
+    fn outlasts(&self, departure: &DirectoryEntry) -> bool {
+        let is_lost = !departure.position.is_same_epoch(self.position)
+            && self.record.version_key() <= departure.record.version_key();
+        self.is_after(departure.position) && !is_lost
+    }
+
     /// Returns whether the entry was removed in the epoch of `position`. A server may then write the same record again.
     fn was_removed_in(&self, position: StorePosition) -> bool {
         self.departed_at.is_some() && position.is_same_epoch(self.position)
@@ -151,7 +162,7 @@
             return self.heartbeat(update.record, update.position, now);
         }
         let known = self.entries.get(&update.record.id);
-        if known.is_some_and(|entry| entry.has_left(now) || entry.is_after(update.position)) {
+        if known.is_some_and(|entry| entry.has_left(now) || entry.outlasts(&update)) {
             return false;
         }
         self.apply_departure(update, now)
@@ -251,7 +262,8 @@
         };
         let only_seq_changed = entry.departed_at.is_none() && record.eq_ignoring_seq(&entry.record);
         entry.confirm(position, &mut self.revision);
-        (entry.record, entry.position) = (Arc::new(record), position);
+        entry.record = Arc::new(record);
+        entry.position = if entry.is_after(position) { entry.position } else { position };
         entry.departed_at = None;
         if !only_seq_changed {
             entry.mark_changed(&mut self.revision);
--- a/crates/fuchsiabay-balancer/tests/restored_directory.rs
+++ b/crates/fuchsiabay-balancer/tests/restored_directory.rs
@@ -97,6 +97,25 @@
         Change(2, 60, heartbeat("a", 1, 1, 5, Ready))], &["b"]);
 }
 
+// Guards against a server that drains or has left and is used again, because an instance that starts after the restore reads its
+// record from the copy, and against older news that overrides newer records.
+cases! {
+    drain_known_from_before_the_restore_is_applied(vec![
+        Listing(2, 58, vec![a(5, Ready)]), Record(1, 70, a(7, Draining))], &[]);
+    departure_known_from_before_the_restore_is_applied(vec![
+        Listing(2, 58, vec![a(5, Ready)]), Departure(1, 70, a(7, Draining))], &[]);
+    departure_of_the_same_record_is_applied(vec![
+        Listing(2, 58, vec![a(5, Ready)]), Departure(1, 70, a(5, Ready)), Listing(2, 59, vec![a(5, Ready)])], &[]);
+    departure_of_an_earlier_record_is_ignored(vec![
+        Listing(2, 58, vec![a(8, Ready)]), Departure(1, 70, a(7, Ready))], &["a"]);
+    departure_of_an_earlier_incarnation_is_ignored(vec![
+        Listing(2, 58, vec![record("a", 1, 2, 1, Ready)]), Departure(1, 70, a(7, Ready))], &["a"]);
+    server_that_runs_on_returns_after_a_departure_from_before_the_restore(vec![
+        Listing(2, 58, vec![a(5, Ready)]), Departure(1, 70, a(7, Ready)), Change(2, 60, heartbeat("a", 1, 1, 8, Ready))], &["a"]);
+    record_from_before_the_restore_does_not_revert_a_departure(vec![
+        Listing(1, 50, vec![a(5, Ready)]), Departure(2, 58, a(5, Ready)), Record(1, 70, a(6, Ready))], &[]);
+}
+
 /// Applies `early` to one instance, and `late` to another one that has sent everything before. Checks which servers are ready at
 /// the first one after it has received what changed.
 fn check_exchange(early: Vec<Input>, before: Vec<Input>, late: Vec<Input>, ready: &[&str]) {
--- a/crates/fuchsiabay-gateway/tests/neighbours.rs
+++ b/crates/fuchsiabay-gateway/tests/neighbours.rs
@@ -73,6 +73,28 @@
     });
 }
 
+/// Guards against an instance that keeps using a draining server, because the positions of the restored store are lower.
+#[test]
+fn drain_after_a_restore_reaches_an_instance_without_the_store() {
+    smol::block_on(async {
+        let with_store = Harness::start(1, &[Behaviour::Respond("whole")]).await;
+        let without_store = start_without_store(&with_store).await;
+        without_store.wait_until_ready().await;
+        wait_for_status(&without_store, 200).await;
+        let platform = &with_store.platform;
+        {
+            let mut servers = platform.servers.lock().unwrap();
+            servers[0].state = ServerState::Draining;
+            servers[0].seq += 1;
+        }
+        platform.epoch.fetch_add(1, Ordering::Relaxed);
+        platform.position.store(0, Ordering::Relaxed);
+        wait_for_status(&without_store, 503).await;
+        let state = get(without_store.gateway.ops_addr(), "/state").await.1;
+        assert!(state.contains("\"store_epoch\":1"), "{state}");
+    });
+}
+
 /// Starts three instances that share one store.
 async fn start_three() -> Vec<Harness> {
     let first = Harness::start(1, &[Behaviour::Respond("whole")]).await;
