Tell the terms of the coordinator lease apart across restores

Callers would see streams that stall, or layouts that differ between ranks, from two coordinators at work.

Cause: a number that the store gave out is compared across a restore. - Members are read again only if the generation differs. With the same generation for other members, an instance kept the old ones. - Versions of layouts carry the generation, so that two coordinators never choose the same one. With a repeated generation they could. - A change of the members is taken for proof that the previous holder has stopped. After a restore, the members can change although the holder, whose lease the store has lost, is at work.

A term is now the epoch of the store and the generation. A successor waits for the end of the lease if it has seen a restore, or its first response of the store, within the lease's duration. The decision is a type without I/O (`MembershipHistory`).

--- a/crates/fuchsiabay-gateway/src/coordinator_lease.rs
+++ b/crates/fuchsiabay-gateway/src/coordinator_lease.rs
@@ -1,7 +1,7 @@
 //! The lease on the coordinator role, which the store grants to one instance at a time.
 
 use fuchsiabay_base::Timestamp;
-use fuchsiabay_lockstep::Takeover;
+use fuchsiabay_lockstep::{LeaseTerm, Takeover};
 use parking_lot::Mutex;
 use rustix::time::{ClockId, clock_gettime};
 
@@ -16,14 +16,14 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct State {
     held_until: Timestamp,
-    term: u64,
+    term: LeaseTerm,
     takeover: Option<Takeover>,
 }
 
 impl CoordinatorLease {
     /// Records that the lease is held until `until`, on the clock of [`boot_now`]. `predecessor_stopped` is used only if the
     /// lease was not held before.
-    pub(crate) fn renew(&self, until: Timestamp, term: u64, predecessor_stopped: bool) {
+    pub(crate) fn renew(&self, until: Timestamp, term: LeaseTerm, predecessor_stopped: bool) {
         let now = boot_now();
         let mut state = self.state.lock();
         let new_takeover = Takeover { acquired_at: now, predecessor_stopped, lease_ms: MEMBERSHIP_LEASE_MS };
@@ -52,7 +52,7 @@
     }
 
     /// Returns the term in which the lease is held. Two instances never hold it in the same term.
-    pub(crate) fn term(&self) -> u64 {
+    pub(crate) fn term(&self) -> LeaseTerm {
         self.state.lock().term
     }
 }
--- a/crates/fuchsiabay-gateway/src/membership.rs
+++ b/crates/fuchsiabay-gateway/src/membership.rs
@@ -2,6 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
+use fuchsiabay_lockstep::{LeaseTerm, MembershipHistory};
 use fuchsiabay_runtime::monotonic_now;
 use smol::Timer;
 
@@ -23,32 +24,23 @@
 /// Safety margin before the end of a lease, in milliseconds: the store counts from the arrival of the call.
 const LEASE_MARGIN_MS: u64 = 200;
 
-/// Time that the store needs to reassign the leases after a change of the members, in milliseconds. The members agree
-/// to the new assignment one after the other.
-const REBALANCE_MS: u64 = 2_500;
-
 /// Renews the membership until the gateway drains.
 pub(crate) async fn run<M: MembershipSource>(gateway: Arc<Gateway>, mut source: M) {
-    let mut known_members = Vec::new();
-    let mut term = 0;
-    let mut changed_at = boot_now();
+    let mut history = MembershipHistory::default();
+    let mut term = LeaseTerm::default();
     loop {
         let requested_at = boot_now();
         let delay = match source.renew().await {
             Ok(view) => {
                 let instances = view.members.len();
+                let received_at = boot_now();
+                history.record(&view.members, view.term.store_epoch, received_at);
                 if view.term != term {
-                    log::info!(instances, term = view.term; "membership: changed");
-                    if known_members != view.members {
-                        changed_at = requested_at;
-                        known_members.clone_from(&view.members);
-                    }
+                    log::info!(instances, term = view.term.generation, epoch = view.term.store_epoch; "membership: changed");
                 }
                 if view.is_coordinator {
                     let until = requested_at.plus_millis(MEMBERSHIP_LEASE_MS - LEASE_MARGIN_MS);
-                    // The store reassigns the lease after its holder has left or has agreed. The previous holder may be
-                    // unaware of it only if the store reassigns all leases while the members stay the same.
-                    let predecessor_stopped = requested_at.millis_since(changed_at) < REBALANCE_MS;
+                    let predecessor_stopped = history.predecessor_stopped(received_at, MEMBERSHIP_LEASE_MS);
                     gateway.coordinator_lease().renew(until, view.term, predecessor_stopped);
                 } else {
                     gateway.coordinator_lease().clear();
--- a/crates/fuchsiabay-gateway/src/source.rs
+++ b/crates/fuchsiabay-gateway/src/source.rs
@@ -4,6 +4,8 @@
 
 use fuchsiabay_balancer::{ServerChange, ServerRecord, ServingConfig, StorePosition};
 
+use fuchsiabay_lockstep::LeaseTerm;
+
 use crate::EngineControl;
 
 /// Why a read of the store failed.
@@ -60,8 +62,8 @@
     pub members: Vec<SocketAddr>,
     /// Whether this instance is the coordinator.
     pub is_coordinator: bool,
-    /// Number of the term, which changes with the membership. No two instances are the coordinator in the same term.
-    pub term: u64,
+    /// The term, which changes with the membership. No two instances are the coordinator in the same term.
+    pub term: LeaseTerm,
 }
 
 /// Maintains the membership of this instance among the entry instances.
--- a/crates/fuchsiabay-gateway/tests/support/platform.rs
+++ b/crates/fuchsiabay-gateway/tests/support/platform.rs
@@ -14,7 +14,7 @@
     ConfigSource, ConfigUpdate, EngineControl, EngineError, MembershipSource, MembershipView, Platform,
     RankExperts, ServerSource, ServerUpdate, SourceError,
 };
-use fuchsiabay_lockstep::{DemandDelta, Order, OrderReply, RankState};
+use fuchsiabay_lockstep::{DemandDelta, LeaseTerm, Order, OrderReply, RankState};
 use smol::Timer;
 
 /// The delay of each read of the configuration.
@@ -77,7 +77,11 @@
     async fn renew(&mut self) -> Result<MembershipView, SourceError> {
         self.check()?;
         let members = self.platform.members.lock().unwrap().clone();
-        Ok(MembershipView { members, is_coordinator: false, term: 1 })
+        Ok(MembershipView {
+            members,
+            is_coordinator: false,
+            term: LeaseTerm { store_epoch: 1, generation: 1 },
+        })
     }
 
     async fn leave(&mut self) {}
--- a/crates/fuchsiabay-lockstep/src/switch.rs
+++ b/crates/fuchsiabay-lockstep/src/switch.rs
@@ -4,7 +4,7 @@
 
 use fuchsiabay_base::{Timestamp, invariant, is_mechanism_enabled};
 
-use crate::{ExpertLayout, Order, OrderReply, RankState};
+use crate::{ExpertLayout, LeaseTerm, Order, OrderReply, RankState};
 
 /// The interval at which an order without an accepted reply is resent, in milliseconds.
 const RESEND_INTERVAL_MS: u64 = 120;
@@ -32,8 +32,8 @@
 const VERSION_STRIDE: u64 = 4_096;
 
 /// Returns a version above `highest` that only the coordinator of `term` uses.
-pub fn next_version(highest: u64, term: u64) -> u64 {
-    (highest / VERSION_STRIDE + 1) * VERSION_STRIDE + term % VERSION_STRIDE
+pub fn next_version(highest: u64, term: LeaseTerm) -> u64 {
+    (highest / VERSION_STRIDE + 1) * VERSION_STRIDE + term.remainder(VERSION_STRIDE)
 }
 
 /// How a switch ended.
--- a/crates/fuchsiabay-prove/src/lockstep_world.rs
+++ b/crates/fuchsiabay-prove/src/lockstep_world.rs
@@ -4,7 +4,8 @@
 
 use fuchsiabay_base::{Timestamp, is_mechanism_enabled};
 use fuchsiabay_lockstep::{
-    ExpertLayout, MapSwitch, Order, OrderReply, Recovery, SwitchOutcome, SwitchTiming, Takeover, next_version,
+    ExpertLayout, LeaseTerm, MapSwitch, Order, OrderReply, Recovery, SwitchOutcome, SwitchTiming, Takeover,
+    next_version,
 };
 
 use crate::{
@@ -201,7 +202,7 @@
             return None;
         }
         let highest = states.iter().map(|state| state.map_version.max(state.prepared.unwrap_or(0))).max();
-        let version = next_version(highest.unwrap_or(0), term);
+        let version = next_version(highest.unwrap_or(0), LeaseTerm { store_epoch: 0, generation: term });
         let content = vec![self.rng.u16(..)];
         let layout = Arc::new(ExpertLayout { sets: vec![vec![content; RANKS]] });
         let now = Timestamp::from_millis(now_ms);
