Do not end an interrupted stream with a response of another kind

Cause: the response of the server that resumes a stream was relayed if its status was 2xx. One without a body (204, or a length of 0) ended the stream with the last chunk; one with another content could contain what looks like the next event.

A response continues a stream only if its status is 200 and its content type is that of the head that the caller has received. Otherwise it is invalid: another server may resume the stream, or it is aborted.

Evidence: `empty_success_at_the_resumption_ends_no_stream`, `success_without_content_at_the_resumption_ends_no_stream` and `other_content_at_the_resumption_is_not_relayed` failed before. The other six new cases passed before: errors, refusals, a second head and cut heads at the resumption were not relayed.

--- a/crates/fuchsiabay-gateway/src/request/stream.rs
+++ b/crates/fuchsiabay-gateway/src/request/stream.rs
@@ -14,7 +14,7 @@
 use crate::{
     backend::{Attempt, Failure, FailureKind},
     caller::until_interrupted,
-    http::BufferedSocket,
+    http::{BufferedSocket, ResponseHead},
     request_metrics,
     shard::SlotGuard,
 };
@@ -45,8 +45,13 @@
             }
         }
         let request = forwarder.request;
-        let segment =
-            until_interrupted(socket, request.deadline, relay.relay_segment(request, &mut attempt)).await;
+        let segment = async {
+            if !relay.is_continued_by(&attempt.response.head) {
+                return SegmentEnd::Failed(FailureKind::InvalidResponse);
+            }
+            relay.relay_segment(request, &mut attempt).await
+        };
+        let segment = until_interrupted(socket, request.deadline, segment).await;
         forwarder.is_resumption = relay.head_written;
         forwarder.record_progress(relay.take_progress_ms());
         let segment = match segment {
@@ -120,12 +125,18 @@
     }
 }
 
+fn content_type(head: &ResponseHead) -> Option<&str> {
+    head.headers.get("content-type")
+}
+
 /// Relays a stream to its caller.
 struct Relay {
     writer: TcpStream,
     splitter: EventSplitter,
     /// Whether the response head was written. It is the head of the first server that sent events.
     head_written: bool,
+    /// The content type in the head that was written.
+    content_type: Option<String>,
     out: Vec<u8>,
     /// When events were last written to the caller.
     last_event_at: Option<Timestamp>,
@@ -140,6 +151,7 @@
             writer,
             splitter,
             head_written: false,
+            content_type: None,
             out: Vec::new(),
             last_event_at: None,
             segment_started_at: None,
@@ -147,6 +159,12 @@
         }
     }
 
+    /// Returns whether a response with `head` can continue the response that the caller receives. Otherwise its end would make an
+    /// interrupted stream look complete.
+    fn is_continued_by(&self, head: &ResponseHead) -> bool {
+        !self.head_written || head.status == 200 && content_type(head) == self.content_type.as_deref()
+    }
+
     fn record_gap(&mut self) {
         let now = monotonic_now();
         self.segment_started_at.get_or_insert(now);
@@ -206,6 +224,7 @@
         self.out.clear();
         if !self.head_written && (!events.is_empty() || is_last) {
             self.head_written = true;
+            self.content_type = content_type(&attempt.response.head).map(str::to_owned);
             let head = encode_head(&attempt.response.head, &BodyFraming::Chunked, request.keeps_alive());
             self.out.extend_from_slice(&head);
             request_metrics::record_first_event(monotonic_now().millis_since(request.arrived));
--- a/crates/fuchsiabay-gateway/tests/streams.rs
+++ b/crates/fuchsiabay-gateway/tests/streams.rs
@@ -47,6 +47,38 @@
     non_resumable_stream_is_aborted("/once/a", &[interrupted_after(2), COMPLETE], 2, false);
 }
 
+const ERROR: Behaviour = Behaviour::Status(500);
+const ERROR_WITHOUT_STAMP: Behaviour = Behaviour::Raw(
+    "HTTP/1.1 500 S\r\nX-Call: {id}\r\nContent-Length: 27\r\n\r\nid: 3\ndata: internal error\n\n",
+);
+const HEAD_TWICE: Behaviour = Behaviour::Raw(
+    "HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\nHTTP/1.1 500 S\r\nX-Call: {id}\r\n\r\nid: 3\n\n",
+);
+const EMPTY_SUCCESS: Behaviour =
+    Behaviour::Raw("HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\nContent-Length: 0\r\n\r\n");
+const NO_CONTENT: Behaviour = Behaviour::Raw("HTTP/1.1 204 N\r\nX-Call: {id}\r\nX-Stamp: s\r\n\r\n");
+const ERROR_AS_SUCCESS: Behaviour = Behaviour::Raw(
+    "HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\nContent-Type: text/plain\r\nContent-Length: 15\r\n\r\nid: 3\nfailed\n\n\n",
+);
+const CUT_HEAD: Behaviour = Behaviour::Raw("HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\n");
+const CUT_LAST_CHUNK: Behaviour = Behaviour::Raw(
+    "HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n",
+);
+
+// Guards against the error of the server that was to resume a stream in the middle of that stream, and against a stream that ends
+// there as if it were complete.
+cases! { check:
+    error_at_the_resumption_is_not_relayed("/stream/a", &[interrupted_after(2), ERROR], 2, false);
+    error_without_stamp_at_the_resumption_is_not_relayed("/stream/a", &[interrupted_after(2), ERROR_WITHOUT_STAMP], 2, false);
+    second_head_in_the_stream_is_not_relayed("/stream/a", &[interrupted_after(2), HEAD_TWICE], 2, false);
+    full_server_at_the_resumption_ends_no_stream("/stream/a", &[interrupted_after(2), Behaviour::Full], 2, false);
+    empty_success_at_the_resumption_ends_no_stream("/stream/a", &[interrupted_after(2), EMPTY_SUCCESS], 2, false);
+    success_without_content_at_the_resumption_ends_no_stream("/stream/a", &[interrupted_after(2), NO_CONTENT], 2, false);
+    other_content_at_the_resumption_is_not_relayed("/stream/a", &[interrupted_after(2), ERROR_AS_SUCCESS], 2, false);
+    head_cut_at_the_resumption_ends_no_stream("/stream/a", &[interrupted_after(2), CUT_HEAD], 2, false);
+    last_chunk_cut_at_the_resumption_ends_no_stream("/stream/a", &[interrupted_after(2), CUT_LAST_CHUNK], 2, false);
+}
+
 /// Guards against a stream that starts from the beginning when its caller resumes it.
 #[test]
 fn caller_resumes_after_its_last_event() {
--- a/crates/fuchsiabay-gateway/tests/support/server.rs
+++ b/crates/fuchsiabay-gateway/tests/support/server.rs
@@ -61,6 +61,8 @@
     Limited(&'static str),
     /// Streams `close_after` events and part of another one, then closes the connection.
     IncompleteEvent { close_after: u64 },
+    /// Sends these bytes with the id of the request in place of `{id}`, and closes the connection.
+    Raw(&'static str),
 }
 
 /// A request as the server received it.
@@ -173,6 +175,7 @@
             format!("HTTP/1.1 421 S\r\nX-Call: {id}\r\nContent-Length: 0\r\n\r\n")
         }
         Behaviour::Reset => return false,
+        Behaviour::Raw(bytes) => bytes.replace("{id}", id),
         Behaviour::InvalidResponse => "nothing that HTTP knows\r\n\r\n".to_owned(),
         Behaviour::Truncated => format!("{head}Content-Length: 100\r\n\r\nshort"),
         Behaviour::WrongRequestId => ok_response("foreign").replace(id, "another"),
@@ -213,8 +216,10 @@
             return false;
         }
     };
-    let closes =
-        matches!(behaviour, Behaviour::Truncated | Behaviour::NoFraming | Behaviour::InvalidResponse);
+    let closes = matches!(
+        behaviour,
+        Behaviour::Truncated | Behaviour::NoFraming | Behaviour::InvalidResponse | Behaviour::Raw(_)
+    );
     stream.write_all(bytes.as_bytes()).await.is_ok() && !closes
 }
 
