Do not relay a server's 503 as a refusal of a request that ran

Cause: callers take these statuses as a promise that the request did not run. A server's error was relayed with its status although the server did not state that the request had not run; only 408 and 429 without the server's stamp were replaced.

Such a response to a request that is not idempotent is now a failure after which the request may have run, and the caller gets 502. For idempotent requests nothing changes.

Evidence: the four cases `error_503_of_an_unsafe_request_is_no_refusal` and their kin failed before (503, 429 and 408 instead of 502). Ruled out by the other new cases, which passed before: a copy of an earlier refusal on a kept connection (another request's id, and the connection of a refusal is never kept), and heads that a server cuts off at any place.

--- a/crates/fuchsiabay-gateway/src/backend/attempt.rs
+++ b/crates/fuchsiabay-gateway/src/backend/attempt.rs
@@ -124,10 +124,8 @@
             && headers.get("content-encoding").is_none();
         return if is_valid { Ok(()) } else { Err(Failure::may_have_run(FailureKind::InvalidResponse)) };
     }
-    // An error response without the stamp may come from something other than the server. Relaying 408 or 429 would promise
-    // the caller that the request did not run.
-    let promises_not_run = matches!(head.status, 408 | 429);
-    if headers.get(header_names.stamp).is_none() && (head.status >= 500 || promises_not_run) {
+    // An error response without the stamp may come from something other than the server.
+    if headers.get(header_names.stamp).is_none() && (head.status >= 500 || head.reads_as_not_run()) {
         return Err(Failure::may_have_run(FailureKind::ServerError));
     }
     Ok(())
--- a/crates/fuchsiabay-gateway/src/http/response_head.rs
+++ b/crates/fuchsiabay-gateway/src/http/response_head.rs
@@ -87,6 +87,11 @@
         }
     }
 
+    /// Returns whether callers take the status code as a promise that the request did not run.
+    pub(crate) const fn reads_as_not_run(&self) -> bool {
+        matches!(self.status, 408 | 421 | 429 | 503)
+    }
+
     /// Returns whether the status code is 2xx.
     pub(crate) const fn is_success(&self) -> bool {
         self.status >= 200 && self.status < 300
--- a/crates/fuchsiabay-gateway/src/request/buffered.rs
+++ b/crates/fuchsiabay-gateway/src/request/buffered.rs
@@ -8,7 +8,7 @@
     response_head::{BodyFraming, encode_head},
 };
 use crate::{
-    backend::{Attempt, Failure},
+    backend::{Attempt, Failure, FailureKind},
     caller::until_interrupted,
     http::{BodyError, BufferedSocket},
     response_budget::BufferLease,
@@ -47,6 +47,14 @@
 ) -> Result<RequestOutcome, Option<RequestOutcome>> {
     let deadline = forwarder.request.deadline;
     let server = slot.grant.server.clone();
+    // The server does not state that it did not run the request, and the caller would send it again.
+    if attempt.response.head.reads_as_not_run() && !forwarder.request.kind().is_idempotent() {
+        let failure = Failure::may_have_run(FailureKind::ServerError);
+        slot.set_outcome(failure.outcome());
+        drop((slot, attempt));
+        forwarder.handle_failure(&server, failure).map_err(Some)?;
+        return Err(None);
+    }
     let mut lease = forwarder.request.gateway.response_budget.lease();
     let read = read_body(&mut attempt, &mut lease);
     let body = until_interrupted(socket, deadline, read)
--- a/crates/fuchsiabay-gateway/tests/verdicts.rs
+++ b/crates/fuchsiabay-gateway/tests/verdicts.rs
@@ -68,6 +68,49 @@
     slow_safe_request_is_moved(Behaviour::Slow(5_000));
 }
 
+const OTHER_REFUSAL: Behaviour =
+    Behaviour::Raw("HTTP/1.1 503 S\r\nX-Call: c0\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+const OTHER_LIMIT: Behaviour =
+    Behaviour::Raw("HTTP/1.1 429 S\r\nX-Call: c0\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n");
+const OTHER_MISDIRECTED: Behaviour =
+    Behaviour::Raw("HTTP/1.1 421 S\r\nX-Call: c0\r\nContent-Length: 0\r\n\r\n");
+
+/// Sends a request on `path` over the kept connection of an earlier one, on which the server sends `copy` instead of a response.
+/// The request may be running, so the caller must not be told that it did not run, and no other server may get it.
+async fn check_copy(path: &str, copy: Behaviour) {
+    let harness = Harness::start(2, &[OK, copy, OK]).await;
+    check_at(&harness, path, 200, 1).await;
+    check_at(&harness, path, 502, 2).await;
+}
+
+// Guards against a late copy of an earlier refusal that is taken for the response to the next request on the connection.
+cases! { check_copy:
+    copied_refusal_does_not_refuse_another_request("/unsafe/a", OTHER_REFUSAL);
+    copied_limit_does_not_refuse_another_request("/unsafe/a", OTHER_LIMIT);
+    copied_misdirection_does_not_move_another_request("/unsafe/a", OTHER_MISDIRECTED);
+}
+
+cases! { check:
+    // Guards against telling the caller of a request that ran that it did not run, in the server's own words.
+    error_503_of_an_unsafe_request_is_no_refusal("/unsafe/a", &[Behaviour::Status(503), OK], 502, 1);
+    error_429_of_an_unsafe_request_is_no_refusal("/unsafe/a", &[Behaviour::Status(429), OK], 502, 1);
+    error_408_of_an_unsafe_request_is_no_refusal("/unsafe/a", &[Behaviour::Status(408), OK], 502, 1);
+    error_503_of_a_stream_is_no_refusal("/once/a", &[Behaviour::Status(503), OK], 502, 1);
+    // Guards against a success that is made of the head that a server did not complete.
+    response_cut_in_the_status_line_is_not_relayed("/unsafe/a", &[Behaviour::Raw("HTTP/1.1 200 OK")], 502, 1);
+    response_cut_after_the_status_line_is_not_relayed("/unsafe/a", &[Behaviour::Raw("HTTP/1.1 200 OK\r\n")], 502, 1);
+    response_cut_in_a_field_is_not_relayed(
+        "/unsafe/a", &[Behaviour::Raw("HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s")], 502, 1);
+    response_cut_after_a_field_is_not_relayed(
+        "/unsafe/a", &[Behaviour::Raw("HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\n")], 502, 1);
+    response_cut_before_the_last_line_feed_is_not_relayed(
+        "/unsafe/a", &[Behaviour::Raw("HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\n\r")], 502, 1);
+    stream_cut_in_the_head_is_not_relayed(
+        "/once/a", &[Behaviour::Raw("HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\n")], 502, 1);
+    safe_response_cut_in_the_head_is_not_relayed(
+        "/safe/a", &[Behaviour::Raw("HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\n")], 502, 1);
+}
+
 /// Guards against a caller of a slow server that waits past the route's timeout.
 #[test]
 fn slow_server_yields_504_at_the_timeout() {
