Send nothing to servers that leave or want no requests for some time

What servers state is now held in one place without I/O (`statements` in the balancer), for each incarnation and beyond its entry in the directory: leaving, a pause, and the limit, which moved there. It is asked when a slot is granted and again right before the request is written. If all servers of a service pause, callers are refused at once with the earliest end as `Retry-After`, also those in the queue; a stream that is resumed waits if the pause ends in time. A shorter pause does not end a longer one, and 300 s is the longest. The callers' `Retry-After` is spread over 0.4 s, so that they do not all return at the end.

--- a/crates/fuchsiabay-balancer/src/pool/admission.rs
+++ b/crates/fuchsiabay-balancer/src/pool/admission.rs
@@ -18,6 +18,8 @@
 pub enum RefusalReason {
     /// There is no known server to which the request may be sent.
     NoServer,
+    /// Every server that may run the request has stated that it wants none for some time.
+    Paused,
     /// A rank of the group that runs the service's requests cannot be reached, for an unknown time.
     GroupIncomplete,
     /// The predicted wait is too long for the request's remaining time.
@@ -29,6 +31,7 @@
     pub const fn as_str(self) -> &'static str {
         match self {
             Self::NoServer => "no_server",
+            Self::Paused => "servers_paused",
             Self::GroupIncomplete => "group_incomplete",
             Self::WaitTooLong => "wait_too_long",
         }
--- a/crates/fuchsiabay-balancer/src/pool/commands.rs
+++ b/crates/fuchsiabay-balancer/src/pool/commands.rs
@@ -36,18 +36,20 @@
         ready: impl IntoIterator<Item = &'a Arc<ServerRecord>>,
         now: Timestamp,
     ) -> Vec<(JobId, Grant)> {
+        let ready: Vec<_> = ready.into_iter().collect();
+        self.statements.record_listing(ready.iter().map(|record| record.as_ref()), now);
         self.members.iter_mut().for_each(|member| member.is_leaving = true);
-        for record in ready {
-            self.set_server(record);
+        for record in ready.into_iter().filter(|record| !self.statements.is_leaving(record)) {
+            Self::set_server(&mut self.members, record);
         }
         self.members.retain(|member| !member.is_leaving || member.own_requests > 0);
         self.dispatch(now)
     }
 
-    fn set_server(&mut self, record: &Arc<ServerRecord>) {
-        let known = self.members.iter_mut().find(|member| member.record.id == record.id);
+    fn set_server(members: &mut Vec<Member>, record: &Arc<ServerRecord>) {
+        let known = members.iter_mut().find(|member| member.record.id == record.id);
         let Some(member) = known else {
-            self.members.push(Member::new(record.clone()));
+            members.push(Member::new(record.clone()));
             return;
         };
         member.is_leaving = false;
@@ -70,8 +72,8 @@
         {
             return Admission::Granted(grant);
         }
-        if !self.has_candidate(&job) {
-            return Admission::Refused(self.refusal(RefusalReason::NoServer, 0));
+        if let Some(refusal) = self.unservable(&job, now) {
+            return Admission::Refused(refusal);
         }
         if self.is_blocked_by_unreachable_rank(now) && !job.is_caller_retry && !job.is_resumption {
             return Admission::Refused(self.refusal(RefusalReason::GroupIncomplete, 0));
@@ -93,6 +95,7 @@
 
     /// Removes the waiting jobs whose deadline has passed, and returns them.
     pub fn expire(&mut self, now: Timestamp) -> Vec<JobId> {
+        self.statements.expire(now);
         self.queue.take_expired(now)
     }
 
@@ -178,11 +181,40 @@
         rank: InstanceRank,
         now: Timestamp,
     ) {
-        if let Some(member) = self.member(server) {
-            member.set_rate_limit(per_s, rank, now);
+        if let Some(member) = self.members.iter().find(|member| member.record.id == *server) {
+            self.statements.set_rate_limit(&member.record, per_s, rank, now);
+        }
+    }
+
+    /// Records that `server` has stated that it is leaving. Returns whether that was unknown.
+    pub fn record_leaving(&mut self, server: &ServerRecord) -> bool {
+        let is_new = self.statements.record_leaving(server);
+        self.mark_leaving();
+        is_new
+    }
+
+    /// Records that `server` wants no requests for `seconds`. Returns the end of the pause, or None if `seconds` is not a length
+    /// of time or the server has restarted since.
+    pub fn record_pause(&mut self, server: &ServerRecord, seconds: f64, now: Timestamp) -> Option<Timestamp> {
+        let until = self.statements.record_pause(server, seconds, now);
+        self.mark_leaving();
+        until
+    }
+
+    fn mark_leaving(&mut self) {
+        for member in &mut self.members {
+            member.is_leaving |= self.statements.is_leaving(&member.record);
         }
     }
 
+    /// Removes the waiting jobs that no server will accept, and returns them.
+    pub fn refuse_unservable(&mut self, now: Timestamp) -> Vec<(JobId, Refusal)> {
+        let refused: Vec<_> =
+            self.queue.iter().filter_map(|(id, job)| Some((*id, self.unservable(job, now)?))).collect();
+        refused.iter().for_each(|(id, _)| drop(self.queue.remove(*id)));
+        refused
+    }
+
     /// Records that a server responded that it is full.
     pub fn record_full(&mut self, server: &InstanceId, now: Timestamp) {
         if let Some(member) = self.member(server) {
@@ -227,14 +259,26 @@
 
     fn take_slot(&mut self, job: &Job, now: Timestamp) -> Option<Grant> {
         let (i, grant) = self.find_slot(job, now)?;
+        self.statements.record_grant(&grant.server, now);
         let member = &mut self.members[i];
         member.record_sent(grant.tokens, now);
         Some(grant)
     }
 
+    /// Returns the refusal of a job that no server will accept soon. A resumption waits for the end of a pause, because its caller
+    /// has already received part of the response.
+    fn unservable(&self, job: &Job, now: Timestamp) -> Option<Refusal> {
+        if let Some(until) = self.paused_until(job, now) {
+            let may_wait = job.is_resumption && until < job.deadline;
+            return (!may_wait).then(|| self.refusal(RefusalReason::Paused, until.millis_since(now)));
+        }
+        (!self.has_candidate(job)).then(|| self.refusal(RefusalReason::NoServer, 0))
+    }
+
     fn refusal(&self, reason: RefusalReason, wait_ms: u64) -> Refusal {
         let retry_after_ms = match reason {
             RefusalReason::NoServer => NO_SERVER_RETRY_AFTER_MS,
+            RefusalReason::Paused => wait_ms + fastrand::u64(..RETRY_AFTER_SPREAD_MS),
             RefusalReason::GroupIncomplete => MAX_RETRY_AFTER_MS + fastrand::u64(..RETRY_AFTER_SPREAD_MS),
             RefusalReason::WaitTooLong => {
                 wait_ms.clamp(MIN_RETRY_AFTER_MS, MAX_RETRY_AFTER_MS) + fastrand::u64(..RETRY_AFTER_SPREAD_MS)
--- a/crates/fuchsiabay-balancer/src/pool/member.rs
+++ b/crates/fuchsiabay-balancer/src/pool/member.rs
@@ -4,7 +4,7 @@
 
 use fuchsiabay_base::Timestamp;
 
-use crate::{Health, InstanceRank, ServerRecord, rate_limit::RateLimit};
+use crate::{Health, ServerRecord};
 
 /// How long a load report is used, in milliseconds. Streams last one to two seconds, so an older report says little
 /// about the current load.
@@ -33,8 +33,6 @@
     /// The time until which the server cannot run requests, because its group is not open or another server uses its
     /// address.
     blocked_until: Option<Timestamp>,
-    /// The pace of this instance's requests, if the server states a limit.
-    rate_limit: Option<RateLimit>,
     /// The factor by which the server is slower than usual.
     pub(super) slowdown: f64,
     /// The number of this instance's requests whose response has not started.
@@ -45,7 +43,8 @@
     first_byte_ms: f64,
     /// Until when the average is recent.
     first_byte_until: Option<Timestamp>,
-    /// Whether the server is no longer ready in the directory. The member is kept until its last request ends.
+    /// Whether the server is no longer ready in the directory, or has stated that it is leaving. The member is kept until its last
+    /// request ends.
     pub(super) is_leaving: bool,
 }
 
@@ -60,7 +59,6 @@
             reported_at: None,
             full_until: None,
             blocked_until: None,
-            rate_limit: None,
             slowdown: 1.0,
             awaiting_response: 0,
             silent_since: None,
@@ -120,22 +118,6 @@
         self.awaiting_response += 1;
         self.silent_since.get_or_insert(now);
         self.health.record_sent();
-        if let Some(rate_limit) = &mut self.rate_limit {
-            rate_limit.record_sent(now);
-        }
-    }
-
-    /// Sets the number of requests a second that the server accepts from all instances. None if it states no limit.
-    pub(super) fn set_rate_limit(&mut self, per_s: Option<f64>, rank: InstanceRank, now: Timestamp) {
-        self.rate_limit = per_s.map(|per_s| match self.rate_limit {
-            Some(known) => known.restated(per_s, rank, now),
-            None => RateLimit::new(per_s, rank, now),
-        });
-    }
-
-    /// Returns whether the server states a limit.
-    pub(super) const fn has_rate_limit(&self) -> bool {
-        self.rate_limit.is_some()
     }
 
     /// Records that a response has started, or that a request ended without one.
@@ -174,7 +156,6 @@
         !self.is_leaving
             && !self.is_blocked(now)
             && self.full_until.is_none_or(|until| until <= now)
-            && self.rate_limit.is_none_or(|limit| limit.allows(now))
             && self.health.is_usable(now)
     }
 }
--- a/crates/fuchsiabay-balancer/src/pool/mod.rs
+++ b/crates/fuchsiabay-balancer/src/pool/mod.rs
@@ -13,7 +13,7 @@
 use fuchsiabay_base::{Timestamp, ZoneName};
 
 use self::{member::Member, traffic::Traffic, wait_queue::WaitQueue};
-use crate::EngineProfile;
+use crate::{EngineProfile, statements::Statements};
 
 pub use admission::{Admission, Refusal, RefusalReason};
 pub use grant::Grant;
@@ -33,6 +33,7 @@
     engine: Option<EngineProfile>,
     members: Vec<Member>,
     queue: WaitQueue,
+    statements: Statements,
     traffic: Traffic,
     /// Whether a rank of a closed group cannot be reached.
     has_unreachable_rank: bool,
@@ -51,6 +52,7 @@
             engine: None,
             members: Vec::new(),
             queue: WaitQueue::default(),
+            statements: Statements::default(),
             traffic: Traffic::new(INITIAL_FIRST_BYTE_MS, INITIAL_HOLDING_MS),
             has_unreachable_rank: false,
             instances: 1,
--- a/crates/fuchsiabay-balancer/src/pool/queries.rs
+++ b/crates/fuchsiabay-balancer/src/pool/queries.rs
@@ -5,7 +5,7 @@
 use fuchsiabay_base::{InstanceId, Timestamp};
 
 use super::{Grant, Job, Pool, PoolStatus, ServerStatus, member::Member, wait_queue::latest_start_of};
-use crate::ServerRecord;
+use crate::{SendPermission, ServerRecord};
 
 /// The maximum fraction of the slots that is reserved for requests that can be on time. Refusing late requests while
 /// half of the slots are free has no benefit.
@@ -42,10 +42,15 @@
             own: member.own_requests,
             others: member.others_requests(now),
             ejected_until: member.health.ejected_until(),
-            has_rate_limit: member.has_rate_limit(),
+            has_rate_limit: self.statements.has_rate_limit(&member.record),
+            paused_until: self.statements.paused_until(&member.record, now),
             is_leaving: member.is_leaving,
         };
-        PoolStatus { queued: self.queue.len(), servers: self.members.iter().map(server).collect() }
+        PoolStatus {
+            queued: self.queue.len(),
+            servers: self.members.iter().map(server).collect(),
+            stated_leaving: self.statements.leaving().cloned().collect(),
+        }
     }
 
     /// Returns the number of this instance's requests at each server, to be sent to the neighbours.
@@ -68,12 +73,39 @@
 
     /// Returns whether a server has stated a limit.
     pub fn has_rate_limit(&self, server: &InstanceId) -> bool {
-        self.members.iter().any(|member| member.record.id == *server && member.has_rate_limit())
+        let mut members = self.members.iter();
+        members.any(|member| member.record.id == *server && self.statements.has_rate_limit(&member.record))
+    }
+
+    /// Returns whether requests wait that may be sent as soon as the limit or the pause of a server allows it.
+    pub fn has_paced_jobs(&self, now: Timestamp) -> bool {
+        let is_paced = |member: &Member| {
+            let record = &member.record;
+            self.statements.has_rate_limit(record) || self.statements.paused_until(record, now).is_some()
+        };
+        self.queue.len() > 0 && self.members.iter().any(is_paced)
     }
 
-    /// Returns whether requests wait that may be sent as soon as the limit of a server allows it.
-    pub fn has_paced_jobs(&self) -> bool {
-        self.queue.len() > 0 && self.members.iter().any(Member::has_rate_limit)
+    /// Returns whether a request that holds a slot at `server` may be sent now. Asked right before it is sent, because the server
+    /// or the directory may have stated otherwise since the slot was granted.
+    pub fn send_permission(&self, server: &ServerRecord, now: Timestamp) -> SendPermission {
+        let is_leaving = |member: &Member| member.record.id == server.id && member.is_leaving;
+        if self.members.iter().any(is_leaving) {
+            return SendPermission::Never;
+        }
+        self.statements.send_permission(server, now)
+    }
+
+    /// Returns the earliest end of a pause if every server that may run `job` has stated one. Servers that have refused the job
+    /// count only if there are no others.
+    pub fn paused_until(&self, job: &Job, now: Timestamp) -> Option<Timestamp> {
+        let has_candidate = self.has_candidate(job);
+        let servers = self
+            .members
+            .iter()
+            .filter(|member| !member.is_leaving && !(has_candidate && is_excluded(member, job)));
+        let ends = servers.map(|member| self.statements.paused_until(&member.record, now));
+        ends.collect::<Option<Vec<_>>>()?.into_iter().min()
     }
 
     /// Returns whether every server is blocked because a rank cannot be reached.
@@ -104,6 +136,7 @@
             member.is_eligible(now)
                 && member.slowdown <= max_slowdown
                 && !self.is_member_stalled(member, now)
+                && self.statements.grant_permission(&member.record, now).is_granted()
                 && member.load(now) < self.slot_limit(member)
                 && !is_excluded(member, job)
         };
--- a/crates/fuchsiabay-balancer/src/pool/status.rs
+++ b/crates/fuchsiabay-balancer/src/pool/status.rs
@@ -17,6 +17,8 @@
     pub ejected_until: Option<Timestamp>,
     /// Whether the server states a limit for the requests a second of all instances.
     pub has_rate_limit: bool,
+    /// Until when the server has stated that it wants no requests.
+    pub paused_until: Option<Timestamp>,
     /// Whether the server is leaving.
     pub is_leaving: bool,
 }
@@ -29,4 +31,6 @@
     pub queued: usize,
     /// The servers.
     pub servers: Vec<ServerStatus>,
+    /// The servers that have stated that they are leaving.
+    pub stated_leaving: Vec<InstanceId>,
 }
--- a/crates/fuchsiabay-balancer/src/pool/wait_queue.rs
+++ b/crates/fuchsiabay-balancer/src/pool/wait_queue.rs
@@ -20,6 +20,10 @@
         Some(self.jobs.remove(i).1)
     }
 
+    pub(super) fn iter(&self) -> impl Iterator<Item = &(JobId, Job)> {
+        self.jobs.iter()
+    }
+
     pub(super) fn len(&self) -> usize {
         self.jobs.len()
     }
--- a/crates/fuchsiabay-balancer/src/rate_limit.rs
+++ b/crates/fuchsiabay-balancer/src/statements/rate_limit.rs
@@ -80,6 +80,15 @@
         }
     }
 
+    /// Returns when the next request may be sent.
+    pub(crate) fn next_at(&self, now: Timestamp) -> Timestamp {
+        let missed = match self.window {
+            SendWindow::Open { .. } => 0,
+            SendWindow::Turn { .. } => now.millis_since(self.next_at).div_ceil(self.interval_ms),
+        };
+        self.next_at.plus_millis(missed * self.interval_ms).max(now)
+    }
+
     /// Records that a request is sent.
     pub(crate) fn record_sent(&mut self, now: Timestamp) {
         let base = match self.window {
--- a/crates/fuchsiabay-gateway/src/backend/failure.rs
+++ b/crates/fuchsiabay-gateway/src/backend/failure.rs
@@ -12,6 +12,8 @@
 pub(crate) enum FailureKind {
     /// No connection could be opened.
     Connect,
+    /// The request was not sent, because the server has stated meanwhile that it is leaving or wants no requests.
+    Withheld,
     /// The server reported that it is full.
     Full,
     /// The server reported that it, or a server that it depends on, cannot run the request now.
@@ -59,13 +61,18 @@
     /// Returns what the failure implies for the server's health.
     pub(crate) const fn outcome(self) -> Outcome {
         match self.kind {
-            FailureKind::Full | FailureKind::Unavailable => Outcome::Neutral,
+            FailureKind::Withheld | FailureKind::Full | FailureKind::Unavailable => Outcome::Neutral,
             _ => Outcome::Failure,
         }
     }
 }
 
 impl FailureKind {
+    /// Returns whether nothing was sent to the server.
+    pub(crate) const fn is_unsent(self) -> bool {
+        matches!(self, Self::Connect | Self::Withheld)
+    }
+
     /// Returns whether the server itself responded.
     pub(crate) const fn is_response(self) -> bool {
         matches!(self, Self::Full | Self::Unavailable)
@@ -75,6 +82,7 @@
     pub(crate) const fn as_str(self) -> &'static str {
         match self {
             Self::Connect => "connect",
+            Self::Withheld => "withheld",
             Self::Full => "full",
             Self::Unavailable => "unavailable",
             Self::Misdirected => "misdirected",
--- a/crates/fuchsiabay-gateway/src/header_names.rs
+++ b/crates/fuchsiabay-gateway/src/header_names.rs
@@ -20,6 +20,8 @@
     /// In a response: the number of requests a second that the server accepts from all callers together, for as long as its
     /// responses state it.
     pub limit: &'static str,
+    /// In a response: the server is leaving if the value is 1.
+    pub leaving: &'static str,
     /// In a response: the server that failed, if it is another one that the responding server depends on.
     pub at_fault: &'static str,
     /// The model that the request is for.
--- a/crates/fuchsiabay-gateway/src/request/forwarder.rs
+++ b/crates/fuchsiabay-gateway/src/request/forwarder.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use fuchsiabay_balancer::{Outcome, RouteKind, ServerRecord};
+use fuchsiabay_balancer::{Outcome, Refusal, RouteKind, ServerRecord};
 use fuchsiabay_base::{InstanceId, Timestamp, Verdict};
 use fuchsiabay_runtime::{monotonic_now, sleep_until};
 use futures_lite::FutureExt;
@@ -13,7 +13,7 @@
     caller::{Interrupt, LocalResponse, until_interrupted},
     http::{BufferedSocket, Framing, ResponseHead},
     request_metrics,
-    shard::{AcquireResult, SlotGuard},
+    shard::{AcquireResult, SlotGuard, WaitEnd},
 };
 
 /// `Retry-After` of a response that reports an unavailable server, in milliseconds.
@@ -125,6 +125,7 @@
                 self.tried.retain(|tried| *tried != server.id);
                 self.unreachable.push(server.id.clone());
             }
+            FailureKind::Withheld => self.tried.retain(|tried| *tried != server.id),
             // The server reported that it cannot run the request now, so this does not count as an attempt.
             FailureKind::Unavailable | FailureKind::Misdirected => {
                 self.tried.retain(|tried| *tried != server.id);
@@ -222,21 +223,17 @@
         let excluded: Vec<InstanceId> = self.tried.iter().chain(&self.unreachable).cloned().collect();
         let slot = match shard.acquire(self.request.job(&excluded, self.is_resumption)) {
             AcquireResult::Slot(slot) => slot,
-            AcquireResult::Refused(refusal) => {
-                log::info!(
-                    request = self.request.request_id, service = shard.name().as_str(),
-                    reason = refusal.reason.as_str(), queued = refusal.queued,
-                    predicted_wait_ms = refusal.predicted_wait_ms, retry_after_ms = refusal.retry_after_ms;
-                    "admission: refused"
-                );
-                return Err(self.refusal_outcome(refusal.reason.as_str(), refusal.retry_after_ms));
-            }
+            AcquireResult::Refused(refusal) => return Err(self.refuse(&refusal)),
             AcquireResult::Waiter(mut waiter) => {
                 let wait = waiter.wait().or(self.wait_until_quarantined());
-                let granted = until_interrupted(socket, self.request.deadline, wait).await;
-                let slot = granted.map_err(|interrupt| self.interrupted_outcome(interrupt))?;
+                let ended = until_interrupted(socket, self.request.deadline, wait).await;
+                let ended = ended.map_err(|interrupt| self.interrupted_outcome(interrupt))?;
                 self.check_quarantine(monotonic_now())?;
-                slot.ok_or_else(|| self.interrupted_outcome(Interrupt::DeadlinePassed))?
+                match ended {
+                    WaitEnd::Slot(slot) => slot,
+                    WaitEnd::Refused(refusal) => return Err(self.refuse(&refusal)),
+                    WaitEnd::Expired => return Err(self.interrupted_outcome(Interrupt::DeadlinePassed)),
+                }
             }
         };
         let now = monotonic_now();
@@ -251,12 +248,22 @@
         Ok(slot)
     }
 
-    /// Returns None once it becomes known that the request crashes servers.
-    async fn wait_until_quarantined(&self) -> Option<SlotGuard> {
+    fn refuse(&self, refusal: &Refusal) -> RequestOutcome {
+        log::info!(
+            request = self.request.request_id, service = self.request.shard.name().as_str(),
+            reason = refusal.reason.as_str(), queued = refusal.queued,
+            predicted_wait_ms = refusal.predicted_wait_ms, retry_after_ms = refusal.retry_after_ms;
+            "admission: refused"
+        );
+        self.refusal_outcome(refusal.reason.as_str(), refusal.retry_after_ms)
+    }
+
+    /// Returns once it becomes known that the request crashes servers.
+    async fn wait_until_quarantined(&self) -> WaitEnd {
         loop {
             let now = monotonic_now();
             if self.request.gateway.crashes().quarantine(&self.request.suspects, now).is_some() {
-                return None;
+                return WaitEnd::Expired;
             }
             sleep_until(now.plus_millis(QUEUE_POLL_INTERVAL_MS)).await;
         }
@@ -298,6 +305,10 @@
             let connections = &request.gateway.connections;
             let connection =
                 connections.take(&server.id, server.address, request.kind().is_idempotent()).await?;
+            // Opening the connection may have taken long.
+            if !request.shard.send_permission(server).is_granted() {
+                return Err(Failure::not_run(FailureKind::Withheld));
+            }
             let left_ms = request.deadline.millis_since(monotonic_now());
             let bytes = this.outgoing.encode(&server.id, left_ms, this.last_event_id.as_deref());
             let slow = async {
@@ -305,7 +316,7 @@
                 Err(Failure::may_have_run(FailureKind::Slow))
             };
             let header_names = request.gateway.settings.header_names;
-            let observe = |head: &ResponseHead| record_statements(request, &server.id, head);
+            let observe = |head: &ResponseHead| record_statements(request, server, head);
             Attempt::start(connection, this.outgoing, &bytes, header_names, observe).or(slow).await
         };
         let result = until_interrupted(socket, request.deadline, attempt).await;
@@ -333,7 +344,10 @@
             FailureKind::Unavailable => shard.record_unavailable(),
             FailureKind::Misdirected => shard.record_misdirected(server),
             FailureKind::ConnectionLost | FailureKind::Connect => shard.request_group_check(),
-            FailureKind::InvalidResponse | FailureKind::Slow | FailureKind::ServerError => {}
+            FailureKind::Withheld
+            | FailureKind::InvalidResponse
+            | FailureKind::Slow
+            | FailureKind::ServerError => {}
         }
     }
 
@@ -383,9 +397,8 @@
         if !is_repeatable || !has_attempts_left || !has_time_left {
             return false;
         }
-        // If the connection could not be opened, the server received nothing, so the next attempt is not charged to the
-        // retry budget.
-        failure.kind == FailureKind::Connect || self.has_taken_retry || self.take_retry(now)
+        // If the server received nothing, the next attempt is not charged to the retry budget.
+        failure.kind.is_unsent() || self.has_taken_retry || self.take_retry(now)
     }
 
     fn take_retry(&self, now: Timestamp) -> bool {
@@ -397,10 +410,11 @@
             return RequestOutcome::Aborted { reason: failure.kind.as_str() };
         }
         if self.verdict == Verdict::NotRun {
-            return RequestOutcome::Local(LocalResponse::unavailable(
-                failure.kind.as_str(),
-                UNAVAILABLE_RETRY_MS,
-            ));
+            let job = self.request.job(&self.tried, self.is_resumption);
+            let paused_until = self.request.shard.paused_until(&job);
+            let retry_after_ms =
+                paused_until.map_or(UNAVAILABLE_RETRY_MS, |until| until.millis_since(monotonic_now()));
+            return RequestOutcome::Local(LocalResponse::unavailable(failure.kind.as_str(), retry_after_ms));
         }
         RequestOutcome::Local(LocalResponse::bad_gateway(failure.kind.as_str(), self.verdict))
     }
--- a/crates/fuchsiabay-gateway/src/shard.rs
+++ b/crates/fuchsiabay-gateway/src/shard.rs
@@ -10,7 +10,7 @@
 
 use fuchsiabay_balancer::{
     Admission, EngineProfile, Grant, InstanceRank, Job, JobId, Outcome, Pool, PoolStatus, Refusal,
-    RetryBudget, RetryLimits, ServerRecord,
+    RetryBudget, RetryLimits, SendPermission, ServerRecord,
 };
 use fuchsiabay_base::{InstanceId, ServiceName, Timestamp, ZoneName};
 use fuchsiabay_runtime::monotonic_now;
@@ -38,7 +38,17 @@
 struct State {
     pool: Pool,
     retries: RetryBudget,
-    waiters: HashMap<JobId, Sender<Grant>>,
+    waiters: HashMap<JobId, Sender<Result<Grant, Refusal>>>,
+}
+
+/// How waiting in the queue ended.
+pub(crate) enum WaitEnd {
+    /// The job has a slot.
+    Slot(SlotGuard),
+    /// No server will accept the job.
+    Refused(Refusal),
+    /// The deadline passed, or the request must not be sent any more.
+    Expired,
 }
 
 /// The result of requesting a slot for a job.
@@ -120,7 +130,35 @@
 
     /// Returns whether requests wait that may be sent as soon as the limit of a server allows it.
     pub(crate) fn has_paced_jobs(&self) -> bool {
-        self.state.lock().pool.has_paced_jobs()
+        self.state.lock().pool.has_paced_jobs(monotonic_now())
+    }
+
+    /// Records that `server` has stated that it is leaving. Returns whether that was unknown.
+    pub(crate) fn record_leaving(&self, server: &ServerRecord) -> bool {
+        let mut state = self.state.lock();
+        let is_new = state.pool.record_leaving(server);
+        state.refuse_unservable(monotonic_now());
+        is_new
+    }
+
+    /// Records that `server` wants no requests for `seconds`. Returns for how many milliseconds it gets none, or None if `seconds`
+    /// is not a length of time or the server has restarted since.
+    pub(crate) fn record_pause(&self, server: &ServerRecord, seconds: f64) -> Option<u64> {
+        let now = monotonic_now();
+        let mut state = self.state.lock();
+        let until = state.pool.record_pause(server, seconds, now)?;
+        state.refuse_unservable(now);
+        Some(until.millis_since(now))
+    }
+
+    /// Returns the earliest end of a pause if every server that may run `job` has stated one.
+    pub(crate) fn paused_until(&self, job: &Job) -> Option<Timestamp> {
+        self.state.lock().pool.paused_until(job, monotonic_now())
+    }
+
+    /// Returns whether a request that holds a slot at `server` may be sent now.
+    pub(crate) fn send_permission(&self, server: &ServerRecord) -> SendPermission {
+        self.state.lock().pool.send_permission(server, monotonic_now())
     }
 
     pub(crate) fn record_full(&self, server: &InstanceId) {
@@ -231,6 +269,17 @@
 }
 
 impl State {
+    /// Refuses the waiting requests that no server will accept.
+    fn refuse_unservable(&mut self, now: Timestamp) {
+        for (id, refusal) in self.pool.refuse_unservable(now) {
+            if let Some(tx) = self.waiters.remove(&id)
+                && tx.try_send(Err(refusal)).is_err()
+            {
+                log::debug!("admission: a request that is refused has gone");
+            }
+        }
+    }
+
     /// Passes slots to the requests that wait for them. The slot of a request that is gone goes to the next one.
     fn deliver(&mut self, grants: Vec<(JobId, Grant)>) {
         let mut grants = grants;
@@ -238,8 +287,9 @@
             let Some(tx) = self.waiters.remove(&id) else {
                 continue;
             };
-            if let Err(error) = tx.try_send(grant) {
-                let grant = error.into_inner();
+            if let Err(error) = tx.try_send(Ok(grant))
+                && let Ok(grant) = error.into_inner()
+            {
                 grants.extend(self.pool.finish(&grant, Outcome::Neutral, false, monotonic_now()).0);
             }
         }
@@ -283,14 +333,17 @@
 pub(crate) struct Waiter {
     shard: Arc<ServiceShard>,
     id: JobId,
-    rx: Receiver<Grant>,
+    rx: Receiver<Result<Grant, Refusal>>,
 }
 
 impl Waiter {
-    /// Waits for a slot. Returns None if the request was removed from the queue because its deadline passed.
-    pub(crate) async fn wait(&mut self) -> Option<SlotGuard> {
-        let grant = self.rx.recv().await.ok()?;
-        Some(SlotGuard::new(&self.shard, grant))
+    /// Waits for a slot.
+    pub(crate) async fn wait(&mut self) -> WaitEnd {
+        match self.rx.recv().await {
+            Ok(Ok(grant)) => WaitEnd::Slot(SlotGuard::new(&self.shard, grant)),
+            Ok(Err(refusal)) => WaitEnd::Refused(refusal),
+            Err(_) => WaitEnd::Expired,
+        }
     }
 }
 
@@ -299,7 +352,7 @@
         let mut state = self.shard.state.lock();
         state.waiters.remove(&self.id);
         state.pool.cancel(self.id);
-        if let Ok(grant) = self.rx.try_recv() {
+        if let Ok(Ok(grant)) = self.rx.try_recv() {
             let grants = state.pool.finish(&grant, Outcome::Neutral, false, monotonic_now()).0;
             state.deliver(grants);
         }
--- a/crates/fuchsiabay-gateway/tests/server_limits.rs
+++ b/crates/fuchsiabay-gateway/tests/server_limits.rs
@@ -5,18 +5,10 @@
 mod cases;
 mod support;
 
-use std::{
-    sync::{Arc, Mutex},
-    time::{Duration, Instant},
-};
+use std::time::{Duration, Instant};
 
 use smol::Timer;
-use support::{
-    Behaviour, FakeServer, Harness,
-    harness::{config, record},
-    platform::FakePlatform,
-    server::Script,
-};
+use support::{Behaviour, FakeServer, Harness};
 
 /// How long requests are sent, and the pause between two of them at one instance.
 const RUN: Duration = Duration::from_millis(7_000);
@@ -33,31 +25,6 @@
     (1.5 * limit * WINDOW.as_secs_f64()) as usize + 5
 }
 
-/// Starts `instances` entry instances in front of one server for each script.
-async fn start(instances: usize, scripts: &[&[Behaviour]]) -> Vec<Harness> {
-    let platform = FakePlatform::default();
-    *platform.config.lock().unwrap() = Some(config(1));
-    let mut servers = Vec::new();
-    for script in scripts {
-        let script: Script = Arc::new(Mutex::new(script.iter().cloned().collect()));
-        servers.push(FakeServer::start(script).await);
-    }
-    let records = servers.iter().enumerate().map(|(i, server)| record(i, server)).collect();
-    *platform.servers.lock().unwrap() = records;
-    let mut harnesses = Vec::new();
-    for _ in 0..instances {
-        let platform = FakePlatform { reads: Arc::default(), ..platform.clone() };
-        harnesses.push(Harness::start_with(platform, servers.clone(), &[]).await);
-    }
-    *platform.members.lock().unwrap() = harnesses.iter().map(|harness| harness.gateway.peer_addr()).collect();
-    for harness in &harnesses {
-        harness.wait_until_ready().await;
-    }
-    // The members are renewed twice a second.
-    Timer::after(Duration::from_millis(1_200)).await;
-    harnesses
-}
-
 /// Sends requests to all instances until `until`. Returns the number of successful responses.
 async fn send(harnesses: &[Harness], until: Instant) -> usize {
     let mut tasks = Vec::new();
@@ -94,7 +61,9 @@
 
 /// Checks that the instances together respect a limit, that they use most of it, and that another server takes the rest.
 async fn check(instances: usize, stated: &'static str, limit: f64) {
-    let harnesses = start(instances, &[&[Behaviour::Limited(stated)], &[Behaviour::Respond("whole")]]).await;
+    let harnesses =
+        Harness::start_instances(instances, &[&[Behaviour::Limited(stated)], &[Behaviour::Respond("whole")]])
+            .await;
     let started = Instant::now();
     let served = send(&harnesses, started + RUN).await;
     let [limited, other] = harnesses[0].servers.as_slice() else { panic!("two servers") };
@@ -118,7 +87,7 @@
 fn limit_ends_with_the_first_response_that_does_not_state_it() {
     smol::block_on(async {
         let script = [vec![Behaviour::Limited("2"); 4], vec![Behaviour::Respond("whole")]].concat();
-        let harnesses = start(1, &[&script, &[Behaviour::Respond("whole")]]).await;
+        let harnesses = Harness::start_instances(1, &[&script, &[Behaviour::Respond("whole")]]).await;
         let started = Instant::now();
         send(&harnesses, started + Duration::from_millis(5_000)).await;
         let late = started + Duration::from_millis(4_000);
--- a/crates/fuchsiabay-gateway/tests/support/harness.rs
+++ b/crates/fuchsiabay-gateway/tests/support/harness.rs
@@ -27,6 +27,7 @@
     not_run: "X-Not-Run",
     load: "X-Load",
     limit: "X-Limit",
+    leaving: "X-Leaving",
     at_fault: "X-Fault",
     model: "X-Model",
     token_count: "X-Tokens",
@@ -120,6 +121,34 @@
         harness
     }
 
+    /// Starts `instances` gateways that know each other, in front of one server for each script.
+    pub async fn start_instances(instances: usize, scripts: &[&[Behaviour]]) -> Vec<Self> {
+        let platform = FakePlatform::default();
+        *platform.config.lock().unwrap() = Some(config(1));
+        let mut servers = Vec::new();
+        for script in scripts {
+            let script: Script = Arc::new(Mutex::new(script.iter().cloned().collect()));
+            servers.push(FakeServer::start(script).await);
+        }
+        let records = servers.iter().enumerate().map(|(i, server)| record(i, server)).collect();
+        *platform.servers.lock().unwrap() = records;
+        let mut harnesses = Vec::new();
+        for _ in 0..instances {
+            let platform = FakePlatform { reads: Arc::default(), ..platform.clone() };
+            harnesses.push(Self::start_with(platform, servers.clone(), &[]).await);
+        }
+        *platform.members.lock().unwrap() =
+            harnesses.iter().map(|harness| harness.gateway.peer_addr()).collect();
+        for harness in &harnesses {
+            harness.wait_until_ready().await;
+        }
+        if instances > 1 {
+            // The members are renewed twice a second.
+            Timer::after(Duration::from_millis(1_200)).await;
+        }
+        harnesses
+    }
+
     /// Starts a gateway on `platform` without waiting until it is ready. `seeds` are the addresses of other entry instances.
     pub async fn start_with(platform: FakePlatform, servers: Vec<FakeServer>, seeds: &[SocketAddr]) -> Self {
         let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
--- a/crates/fuchsiabay-gateway/tests/support/server.rs
+++ b/crates/fuchsiabay-gateway/tests/support/server.rs
@@ -63,6 +63,10 @@
     IncompleteEvent { close_after: u64 },
     /// Sends these bytes with the id of the request in place of `{id}`, and closes the connection.
     Raw(&'static str),
+    /// Responds after a delay in milliseconds, and states that the server is leaving.
+    Leaving(u64),
+    /// Refuses the request after a delay in milliseconds, and states how long the server wants none.
+    Paused(u64, &'static str),
 }
 
 /// A request as the server received it.
@@ -175,6 +179,16 @@
             format!("HTTP/1.1 421 S\r\nX-Call: {id}\r\nContent-Length: 0\r\n\r\n")
         }
         Behaviour::Reset => return false,
+        Behaviour::Leaving(ms) => {
+            Timer::after(Duration::from_millis(*ms)).await;
+            ok_response("leaving").replace("X-Stamp: s\r\n", "X-Stamp: s\r\nX-Leaving: 1\r\n")
+        }
+        Behaviour::Paused(ms, retry_after) => {
+            Timer::after(Duration::from_millis(*ms)).await;
+            format!(
+                "HTTP/1.1 503 S\r\nX-Call: {id}\r\nX-Not-Run: 1\r\nRetry-After: {retry_after}\r\nContent-Length: 0\r\n\r\n"
+            )
+        }
         Behaviour::Raw(bytes) => bytes.replace("{id}", id),
         Behaviour::InvalidResponse => "nothing that HTTP knows\r\n\r\n".to_owned(),
         Behaviour::Truncated => format!("{head}Content-Length: 100\r\n\r\nshort"),
