--- a/crates/fuchsiabay-balancer/src/pool/queries.rs
+++ b/crates/fuchsiabay-balancer/src/pool/queries.rs
@@ -103,7 +103,8 @@
         let servers = self
             .members
             .iter()
-            .filter(|member| !member.is_leaving && !(has_candidate && is_excluded(member, job)));
+            .filter(|member| !member.is_leaving)
+            .filter(|member| !has_candidate || !is_excluded(member, job));
         let ends = servers.map(|member| self.statements.paused_until(&member.record, now));
         ends.collect::<Option<Vec<_>>>()?.into_iter().min()
     }
--- a/crates/fuchsiabay-gateway/src/request/forwarder/mod.rs
+++ b/crates/fuchsiabay-gateway/src/request/forwarder/mod.rs
@@ -1,8 +1,11 @@
 //! Forwards one request: acquires a slot at a server for each attempt and decides after each failure whether to retry.
 
+mod outcomes;
+mod retries;
+
 use std::sync::Arc;
 
-use fuchsiabay_balancer::{Outcome, Refusal, RouteKind, ServerRecord};
+use fuchsiabay_balancer::{Outcome, ServerRecord};
 use fuchsiabay_base::{InstanceId, Timestamp, Verdict};
 use fuchsiabay_runtime::{monotonic_now, sleep_until};
 use futures_lite::FutureExt;
@@ -10,30 +13,12 @@
 use super::{RequestOutcome, routed_request::RoutedRequest, server_statements::record_statements};
 use crate::{
     backend::{Attempt, Failure, FailureKind, OutgoingRequest},
-    caller::{Interrupt, LocalResponse, until_interrupted},
+    caller::{Interrupt, until_interrupted},
     http::{BufferedSocket, Framing, ResponseHead},
     request_metrics,
     shard::{AcquireResult, SlotGuard, WaitEnd},
 };
 
-/// `Retry-After` of a response that reports an unavailable server, in milliseconds.
-const UNAVAILABLE_RETRY_MS: u64 = 700;
-
-/// `Retry-After` of a response to a request that timed out in the queue, in milliseconds. It is longer than the others,
-/// because the queue does not drain within a moment.
-const QUEUE_TIMEOUT_RETRY_MS: u64 = 2_000;
-
-/// The time after which an attempt of a safe request counts as slow and is moved to another server, in percent of the
-/// route's goal. Most responses arrive well within the goal, and the second attempt still has time before the deadline.
-const SLOW_ATTEMPT_PERCENT: u64 = 150;
-
-/// How many times a request may be sent again after a server reported that it is unavailable or not the expected server.
-/// Each of these retries is also charged to the retry budget.
-const MAX_UNAVAILABLE_ATTEMPTS: u32 = 3;
-
-/// The interval at which a waiting request checks whether its server has stalled, in milliseconds.
-const STALL_POLL_INTERVAL_MS: u64 = 250;
-
 /// The interval at which a request in the queue checks whether it has become known to crash servers, in milliseconds.
 const QUEUE_POLL_INTERVAL_MS: u64 = 250;
 
@@ -108,46 +93,6 @@
         }
     }
 
-    /// Records a failed attempt. Returns Ok if the request may be retried, otherwise its outcome.
-    pub(super) fn handle_failure(
-        &mut self,
-        server: &Arc<ServerRecord>,
-        failure: Failure,
-    ) -> Result<(), RequestOutcome> {
-        let now = monotonic_now();
-        self.verdict = self.verdict.max(failure.verdict);
-        request_metrics::count_failed_attempt(failure);
-        if failure.kind == FailureKind::ConnectionLost {
-            self.record_lost_connection(server, now);
-        }
-        match failure.kind {
-            FailureKind::Connect => {
-                self.tried.retain(|tried| *tried != server.id);
-                self.unreachable.push(server.id.clone());
-            }
-            FailureKind::Withheld => self.tried.retain(|tried| *tried != server.id),
-            // The server reported that it cannot run the request now, so this does not count as an attempt.
-            FailureKind::Unavailable | FailureKind::Misdirected => {
-                self.tried.retain(|tried| *tried != server.id);
-                self.unavailable_attempts += 1;
-            }
-            _ => {}
-        }
-        let allowed = self.may_retry(failure, now);
-        log::info!(
-            request = self.request.request_id, server = server.id.as_str(), failure = failure.kind.as_str(),
-            verdict = self.verdict.as_str(), attempts = self.tried.len(), retry = allowed,
-            left_ms = self.request.deadline.millis_since(now);
-            "attempt: failed"
-        );
-        if allowed { Ok(()) } else { Err(self.failure_outcome(failure)) }
-    }
-
-    /// Returns whether the request may be retried instead of relaying a server's 5xx response.
-    pub(super) fn may_replace_server_error(&self) -> bool {
-        self.may_retry(Failure::may_have_run(FailureKind::ServerError), monotonic_now())
-    }
-
     /// Records that a server sent a complete response.
     pub(super) fn record_response(&mut self, slot: &mut SlotGuard, head: &ResponseHead) {
         self.verdict = Verdict::Ran;
@@ -186,26 +131,6 @@
         self.progress_ms >= SURVIVAL_MS
     }
 
-    /// Returns the outcome of a request that was interrupted before its response was complete.
-    pub(super) fn interrupted_outcome(&self, interrupt: Interrupt) -> RequestOutcome {
-        match interrupt {
-            Interrupt::CallerGone => RequestOutcome::CallerGone,
-            Interrupt::DeadlinePassed if self.is_resumption => RequestOutcome::Aborted { reason: "timeout" },
-            Interrupt::DeadlinePassed if self.verdict == Verdict::NotRun => {
-                RequestOutcome::Local(LocalResponse::unavailable("timeout_in_queue", QUEUE_TIMEOUT_RETRY_MS))
-            }
-            Interrupt::DeadlinePassed => RequestOutcome::Local(LocalResponse::gateway_timeout(self.verdict)),
-        }
-    }
-
-    /// Returns the outcome of a request that was interrupted while its response was being written.
-    pub(super) fn interrupted_write_outcome(&self, interrupt: Interrupt) -> RequestOutcome {
-        match interrupt {
-            Interrupt::CallerGone => RequestOutcome::CallerGone,
-            Interrupt::DeadlinePassed => RequestOutcome::Aborted { reason: "caller_does_not_read" },
-        }
-    }
-
     /// Records the retries and the time in the queue in the metrics.
     pub(super) fn record(&self) {
         let retries = self.tried.len().saturating_sub(1) as u64;
@@ -248,16 +173,6 @@
         Ok(slot)
     }
 
-    fn refuse(&self, refusal: &Refusal) -> RequestOutcome {
-        log::info!(
-            request = self.request.request_id, service = self.request.shard.name().as_str(),
-            reason = refusal.reason.as_str(), queued = refusal.queued,
-            predicted_wait_ms = refusal.predicted_wait_ms, retry_after_ms = refusal.retry_after_ms;
-            "admission: refused"
-        );
-        self.refusal_outcome(refusal.reason.as_str(), refusal.retry_after_ms)
-    }
-
     /// Returns once it becomes known that the request crashes servers.
     async fn wait_until_quarantined(&self) -> WaitEnd {
         loop {
@@ -350,82 +265,4 @@
             | FailureKind::ServerError => {}
         }
     }
-
-    /// Returns the time from which the attempt counts as slow. Only safe requests are moved for slowness, so for
-    /// others it is past the deadline.
-    fn slow_at(&self) -> Timestamp {
-        let route = &self.request.route;
-        if route.kind != RouteKind::Safe {
-            return self.request.deadline.plus_millis(1);
-        }
-        monotonic_now().plus_millis(route.goal_ms * SLOW_ATTEMPT_PERCENT / 100)
-    }
-
-    /// Waits until the request should be moved to another server: the attempt is slow or its server has stalled while others
-    /// respond, another server has a free slot, and a retry could be taken from the budget. Never returns if the request is
-    /// not idempotent or has no attempts left.
-    async fn wait_until_slow(&self, server: &InstanceId, slow_at: Timestamp) {
-        let may_move =
-            self.request.kind().is_idempotent() && (self.tried.len() as u32) < self.request.route.attempts;
-        loop {
-            let now = monotonic_now();
-            let is_slow = now >= slow_at || self.request.shard.is_stalled(server);
-            if may_move
-                && is_slow
-                && self.request.deadline.millis_since(now) >= MIN_ATTEMPT_MS
-                && self.request.shard.has_free_slot(&self.request.job(&self.tried, self.is_resumption))
-                && self.take_retry(now)
-            {
-                return;
-            }
-            let next = if now < slow_at {
-                slow_at.min(now.plus_millis(STALL_POLL_INTERVAL_MS))
-            } else {
-                now.plus_millis(STALL_POLL_INTERVAL_MS)
-            };
-            sleep_until(next).await;
-        }
-    }
-
-    fn may_retry(&self, failure: Failure, now: Timestamp) -> bool {
-        let request = self.request;
-        let is_repeatable =
-            self.verdict.max(failure.verdict) == Verdict::NotRun || request.kind().is_idempotent();
-        let has_attempts_left = (self.tried.len() as u32) < request.route.attempts
-            && self.unavailable_attempts <= MAX_UNAVAILABLE_ATTEMPTS;
-        let has_time_left = request.deadline.millis_since(now) >= MIN_ATTEMPT_MS;
-        if !is_repeatable || !has_attempts_left || !has_time_left {
-            return false;
-        }
-        // If the server received nothing, the next attempt is not charged to the retry budget.
-        failure.kind.is_unsent() || self.has_taken_retry || self.take_retry(now)
-    }
-
-    fn take_retry(&self, now: Timestamp) -> bool {
-        self.request.shard.take_retry(self.request.gateway.instance_count(), now)
-    }
-
-    fn failure_outcome(&self, failure: Failure) -> RequestOutcome {
-        if self.is_resumption {
-            return RequestOutcome::Aborted { reason: failure.kind.as_str() };
-        }
-        if self.verdict == Verdict::NotRun {
-            let job = self.request.job(&self.tried, self.is_resumption);
-            let paused_until = self.request.shard.paused_until(&job);
-            let retry_after_ms =
-                paused_until.map_or(UNAVAILABLE_RETRY_MS, |until| until.millis_since(monotonic_now()));
-            return RequestOutcome::Local(LocalResponse::unavailable(failure.kind.as_str(), retry_after_ms));
-        }
-        RequestOutcome::Local(LocalResponse::bad_gateway(failure.kind.as_str(), self.verdict))
-    }
-
-    fn refusal_outcome(&self, reason: &'static str, retry_after_ms: u64) -> RequestOutcome {
-        if self.is_resumption {
-            return RequestOutcome::Aborted { reason };
-        }
-        if self.verdict == Verdict::NotRun {
-            return RequestOutcome::Local(LocalResponse::unavailable(reason, retry_after_ms));
-        }
-        RequestOutcome::Local(LocalResponse::bad_gateway(reason, self.verdict))
-    }
 }
