Tell other instances of a loss before it counts as a crash

An instance judges when it has seen neither crash refuted for 0.7 s. The bad request on one of the ranks was another instance's, which tells of it only then, so for up to 0.25 s a sound part has more crashes than the bad one.

A loss is told after 0.4 s now and still counts after 0.7 s. Instances exchange every 0.25 s, so all of them know what ran on a server when they judge, and their own checks of the rank can refute the loss, too.

Cost: losses that are refuted between 0.4 and 0.7 s are told as well.

--- a/crates/fuchsiabay-balancer/src/crashes/crash.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/crash.rs
@@ -18,6 +18,10 @@
 /// milliseconds. The ranks of a closed group are checked within this time.
 const CONFIRMATION_MS: u64 = 700;
 
+/// The time for which a server must not have responded before other instances are told of the loss of its connections, in
+/// milliseconds. Instances exchange every 250 ms, so that all know of it, and of what else the server ran, before it counts.
+const TELL_MS: u64 = 400;
+
 /// The time for which a crash counts, in milliseconds.
 const EXPIRY_MS: u64 = 300_000;
 
@@ -50,8 +54,8 @@
     /// Whether the server responded afterwards, so that it did not crash.
     pub(super) is_refuted: bool,
     pub(super) suspects: BTreeMap<Fingerprint, Suspicion>,
-    /// The revision of the ledger at which what is known of the crash last changed. None while the loss is not confirmed: most
-    /// losses are refuted by then, so other instances need not know of them.
+    /// The revision of the ledger at which what is known of the crash last changed. None until other instances are told: most
+    /// losses are refuted by then.
     pub(super) revision: Option<u64>,
     /// Whether something changed since that revision.
     pub(super) is_changed: bool,
@@ -109,7 +113,7 @@
 
     /// Sets the revision if other instances must be told of the crash or of a change of it. Returns whether it did.
     pub(super) fn publish(&mut self, revision: u64, now: Timestamp) -> bool {
-        let is_told = self.revision.is_some() || !self.is_refuted && self.confirmed_at() <= now;
+        let is_told = self.revision.is_some() || !self.is_refuted && self.told_at() <= now;
         if !is_told || !self.is_changed {
             return false;
         }
@@ -129,6 +133,11 @@
         sent_at >= self.lost_at && now.millis_since(self.lost_at) <= REFUTABLE_MS
     }
 
+    /// Returns the time from which other instances are told of the loss.
+    pub(super) const fn told_at(&self) -> Timestamp {
+        self.lost_at.plus_millis(TELL_MS)
+    }
+
     /// Returns the time from which the loss counts as a crash.
     pub(super) const fn confirmed_at(&self) -> Timestamp {
         self.lost_at.plus_millis(CONFIRMATION_MS)
--- a/crates/fuchsiabay-balancer/src/crashes/queries.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/queries.rs
@@ -102,7 +102,8 @@
     /// Determines the fewest suspects that explain the crashes: the one with the most crashes first, then the one with the
     /// most of the crashes that remain unexplained.
     pub(super) fn evaluate(&self, now: Timestamp) -> Verdicts {
-        let pending = self.crashes.values().map(Crash::confirmed_at).filter(|at| *at > now);
+        let due = self.crashes.values().flat_map(|crash| [crash.told_at(), crash.confirmed_at()]);
+        let pending = due.filter(|at| *at > now);
         let mut verdicts = Verdicts { next_evaluation: pending.min(), ..Verdicts::default() };
         let is_confirmed =
             |crash: &&Crash| !crash.is_refuted && crash.confirmed_at() <= now && crash.expires_at() > now;
--- a/crates/fuchsiabay-balancer/tests/crash_groups.rs
+++ b/crates/fuchsiabay-balancer/tests/crash_groups.rs
@@ -307,6 +307,7 @@
     }
     assert!(check(14_859_014_062_415_020_248, 0, 0));
     assert!(check(6_963_345_368_947_542_988, 1, 4));
+    assert!(check(13_584_091_708_170_924_330, 223, 0));
     QuickCheck::new().tests(CASES).quickcheck(check as fn(u64, u8, u8) -> bool);
 }
 
