Ask the neighbours before the store when an instance starts

A withdrawn key was accepted again, for as long as an instance that started needed to reach a neighbour, if the store had returned from a copy that was made before the withdrawal: 0.5 s in the test, usually some milliseconds.

Cause: a starting instance puts what it reads from the store in force at once, and only then hears from its neighbours, which know better after a restore. It now ends its first round of calls to them before it reads the configuration, for 0.7 s at most: one neighbour that does not respond takes 0.6 s. Until then it is not ready, as before.

Evidence: `instance_that_starts_after_a_restore_does_not_accept_a_ withdrawn_key` failed before (some hundred responses with 200).

--- a/crates/fuchsiabay-gateway/src/follow.rs
+++ b/crates/fuchsiabay-gateway/src/follow.rs
@@ -18,6 +18,14 @@
 /// Delay after a failed read.
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
+/// The longest time for which an instance that starts waits for its neighbours before it reads the configuration from the store, in
+/// milliseconds. They know the changes that a store has lost which has just returned from a copy. It covers the timeout of one
+/// neighbour that does not respond.
+const NEIGHBOURS_FIRST_MS: u64 = 700;
+
+/// Interval at which a starting instance checks whether its neighbours have been called.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(5);
+
 /// Interval at which the queues, the directory and the idle connections are checked for expired entries.
 const HOUSEKEEPING_INTERVAL: Duration = Duration::from_millis(250);
 
@@ -27,6 +35,7 @@
 /// Keeps the configuration up to date. Never returns.
 pub(crate) async fn follow_config<S: ConfigSource>(gateway: Arc<Gateway>, mut source: S) {
     let mut dependency = DependencyStatus::new("configuration");
+    wait_for_neighbours(&gateway).await;
     loop {
         wait_for_store_read(&gateway, SharedState::Config, &mut dependency).await;
         let requested_at = boot_now();
@@ -83,6 +92,14 @@
     }
 }
 
+/// Waits until the neighbours have been called once.
+async fn wait_for_neighbours(gateway: &Gateway) {
+    let until = monotonic_now().plus_millis(NEIGHBOURS_FIRST_MS);
+    while !gateway.has_called_neighbours() && monotonic_now() < until {
+        Timer::after(START_POLL_INTERVAL).await;
+    }
+}
+
 /// Waits while neighbours provide the data, so that this instance need not read it from the store.
 async fn wait_for_store_read(gateway: &Gateway, state: SharedState, dependency: &mut DependencyStatus) {
     while let Some(until) = gateway.read_deferred_until(state) {
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -38,6 +38,8 @@
     directory: Mutex<Directory>,
     shards: RwLock<HashMap<ServiceName, Arc<ServiceShard>>>,
     directory_is_known: AtomicBool,
+    /// Whether the first round of calls to neighbours has ended.
+    has_called_neighbours: AtomicBool,
     drain: Drain,
     coordinator_lease: CoordinatorLease,
     longest_deadlines: LongestDeadlines,
@@ -64,6 +66,7 @@
             directory: Mutex::default(),
             shards: RwLock::default(),
             directory_is_known: AtomicBool::new(false),
+            has_called_neighbours: AtomicBool::new(false),
             drain: Drain::default(),
             coordinator_lease: CoordinatorLease::default(),
             longest_deadlines: LongestDeadlines::default(),
@@ -172,6 +175,16 @@
         self.directory_is_known.store(true, Ordering::Relaxed);
     }
 
+    /// Records that a round of calls to neighbours has ended.
+    pub(crate) fn set_neighbours_called(&self) {
+        self.has_called_neighbours.store(true, Ordering::Relaxed);
+    }
+
+    /// Returns whether the first round of calls to neighbours has ended.
+    pub(crate) fn has_called_neighbours(&self) -> bool {
+        self.has_called_neighbours.load(Ordering::Relaxed)
+    }
+
     /// Returns the number of entry instances, which share the servers and the retry budget.
     pub(crate) fn instance_count(&self) -> usize {
         self.instances.load(Ordering::Relaxed)
--- a/crates/fuchsiabay-gateway/tests/neighbours.rs
+++ b/crates/fuchsiabay-gateway/tests/neighbours.rs
@@ -95,6 +95,40 @@
     });
 }
 
+/// Guards against a withdrawn key that is accepted again by an instance which starts after the store has lost its withdrawal.
+#[test]
+fn instance_that_starts_after_a_restore_does_not_accept_a_withdrawn_key() {
+    smol::block_on(async {
+        let revoked = || {
+            let mut config = config(2);
+            config.workspaces.as_mut().unwrap()[0].api_keys.clear();
+            Some(config)
+        };
+        let running = Harness::start(1, &[Behaviour::Respond("whole")]).await;
+        *running.platform.config.lock().unwrap() = revoked();
+        wait_for_status(&running, 401).await;
+        let copy = FakePlatform { config: Arc::default(), ..running.platform.clone() };
+        *copy.config.lock().unwrap() = Some(config(1));
+        // A neighbour that accepts connections and never responds, and is called first.
+        let mut silent = Vec::new();
+        while silent.last().is_none_or(|addr| *addr > running.gateway.peer_addr()) {
+            let listener = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+            silent.push(listener.local_addr().unwrap());
+            std::mem::forget(listener);
+        }
+        let seeds = [*silent.last().unwrap(), running.gateway.peer_addr()];
+        for _ in 0..4 {
+            let started = Harness::start_with(copy.clone(), Vec::new(), &seeds).await;
+            let mut statuses = Vec::new();
+            while statuses.last() != Some(&401) {
+                statuses.push(status(&started).await);
+                Timer::after(Duration::from_millis(5)).await;
+            }
+            assert!(!statuses.contains(&200), "{statuses:?}");
+        }
+    });
+}
+
 /// Starts three instances that share one store.
 async fn start_three() -> Vec<Harness> {
     let first = Harness::start(1, &[Behaviour::Respond("whole")]).await;
