Connect to all neighbours at once when an instance starts

The seeds are connected to at the same time now, and an instance goes on as soon as one of them has provided a confirmed configuration, after 0.3 s at the latest.

The test passes also with a neighbour that is called first and does not respond.

--- a/crates/fuchsiabay-gateway/src/follow.rs
+++ b/crates/fuchsiabay-gateway/src/follow.rs
@@ -19,9 +19,9 @@
 const RETRY_DELAY: Duration = Duration::from_millis(300);
 
 /// The longest time for which an instance that starts waits for its neighbours before it reads the configuration from the store, in
-/// milliseconds. They know the changes that a store has lost which has just returned from a copy. It covers the timeout of one
-/// neighbour that does not respond.
-const NEIGHBOURS_FIRST_MS: u64 = 700;
+/// milliseconds. They know the changes that a store has lost which has just returned from a copy. Neighbours in another region
+/// respond within this time.
+const NEIGHBOURS_FIRST_MS: u64 = 300;
 
 /// Interval at which a starting instance checks whether its neighbours have been called.
 const START_POLL_INTERVAL: Duration = Duration::from_millis(5);
@@ -92,10 +92,11 @@
     }
 }
 
-/// Waits until the neighbours have been called once.
+/// Waits until a neighbour has provided the configuration, or all have been called once.
 async fn wait_for_neighbours(gateway: &Gateway) {
     let until = monotonic_now().plus_millis(NEIGHBOURS_FIRST_MS);
-    while !gateway.has_called_neighbours() && monotonic_now() < until {
+    let is_done = || gateway.has_called_neighbours() || gateway.is_fresh(SharedState::Config);
+    while !is_done() && monotonic_now() < until {
         Timer::after(START_POLL_INTERVAL).await;
     }
 }
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -38,7 +38,7 @@
     directory: Mutex<Directory>,
     shards: RwLock<HashMap<ServiceName, Arc<ServiceShard>>>,
     directory_is_known: AtomicBool,
-    /// Whether the first round of calls to neighbours has ended.
+    /// Whether the seeds have been called once.
     has_called_neighbours: AtomicBool,
     drain: Drain,
     coordinator_lease: CoordinatorLease,
@@ -175,12 +175,12 @@
         self.directory_is_known.store(true, Ordering::Relaxed);
     }
 
-    /// Records that a round of calls to neighbours has ended.
+    /// Records that the seeds have been called once.
     pub(crate) fn set_neighbours_called(&self) {
         self.has_called_neighbours.store(true, Ordering::Relaxed);
     }
 
-    /// Returns whether the first round of calls to neighbours has ended.
+    /// Returns whether the seeds have been called once.
     pub(crate) fn has_called_neighbours(&self) -> bool {
         self.has_called_neighbours.load(Ordering::Relaxed)
     }
--- a/crates/fuchsiabay-gateway/src/neighbours/connections.rs
+++ b/crates/fuchsiabay-gateway/src/neighbours/connections.rs
@@ -3,8 +3,9 @@
 use std::{collections::HashMap, net::SocketAddr, sync::Arc};
 
 use fuchsiabay_base::Timestamp;
-use fuchsiabay_runtime::{Identity, Peer, monotonic_now};
+use fuchsiabay_runtime::{Identity, Peer, monotonic_now, spawn};
 use fuchsiabay_wire::SharedKey;
+use smol::channel::Receiver;
 
 use super::NeighbourService;
 
@@ -37,17 +38,38 @@
         if self.retry_at.get(&addr).is_some_and(|at| *at > now) {
             return None;
         }
-        let deadline = now.plus_millis(CONNECT_TIMEOUT_MS);
-        match Peer::connect(addr, &self.identity, &self.key, self.service.clone(), deadline).await {
-            Ok(peer) => {
+        let peer = connect(addr, &self.identity, &self.key, self.service.clone()).await;
+        self.record(addr, peer.clone(), now);
+        peer
+    }
+
+    /// Connects to all of `addrs` at the same time, so that those that do not respond do not delay the others. Sends the result of
+    /// each attempt when it ends.
+    pub(super) fn connect_all(&self, addrs: &[SocketAddr]) -> Receiver<(SocketAddr, Option<Peer>)> {
+        let (tx, rx) = smol::channel::bounded(addrs.len().max(1));
+        for addr in addrs.iter().copied() {
+            let (identity, key, service) = (self.identity.clone(), self.key.clone(), self.service.clone());
+            let tx = tx.clone();
+            let attempt = async move {
+                let peer = connect(addr, &identity, &key, service).await;
+                if tx.send((addr, peer)).await.is_err() {
+                    log::debug!("neighbours: nobody waits for the connection to {addr}");
+                }
+            };
+            spawn(attempt).detach();
+        }
+        rx
+    }
+
+    /// Records the result of an attempt to connect to `addr` that began at `began_at`.
+    pub(super) fn record(&mut self, addr: SocketAddr, peer: Option<Peer>, began_at: Timestamp) {
+        match peer {
+            Some(peer) => {
                 self.retry_at.remove(&addr);
-                self.peers.insert(addr, peer.clone());
-                Some(peer)
+                self.peers.insert(addr, peer);
             }
-            Err(error) => {
-                log::debug!("neighbours: cannot connect to {addr}: {error}");
-                self.retry_at.insert(addr, now.plus_millis(RETRY_DELAY_MS));
-                None
+            None => {
+                self.retry_at.insert(addr, began_at.plus_millis(RETRY_DELAY_MS));
             }
         }
     }
@@ -65,3 +87,14 @@
         self.peers.retain(|addr, _| addrs.contains(addr));
     }
 }
+
+async fn connect(
+    addr: SocketAddr,
+    identity: &Identity,
+    key: &SharedKey,
+    service: Arc<NeighbourService>,
+) -> Option<Peer> {
+    let deadline = monotonic_now().plus_millis(CONNECT_TIMEOUT_MS);
+    let peer = Peer::connect(addr, identity, key, service, deadline).await;
+    peer.inspect_err(|error| log::debug!("neighbours: cannot connect to {addr}: {error}")).ok()
+}
--- a/crates/fuchsiabay-gateway/src/neighbours/exchange.rs
+++ b/crates/fuchsiabay-gateway/src/neighbours/exchange.rs
@@ -26,6 +26,7 @@
     seeds: Vec<SocketAddr>,
 ) {
     let own_addr = gateway.settings.peer_listen;
+    call_seeds(&gateway, &mut connections, &seeds).await;
     loop {
         let is_stale = gateway.is_stale();
         // Seeds may be outdated, so they are called only while this instance has no current data.
@@ -37,7 +38,6 @@
         for addr in callees {
             call(&gateway, &mut connections, own_addr, addr).await;
         }
-        gateway.set_neighbours_called();
         let (loads, reporting_neighbours) = gateway.neighbours().loads(monotonic_now());
         if reporting_neighbours > 0 {
             gateway.shards().iter().for_each(|shard| shard.set_neighbour_loads(&loads));
@@ -46,6 +46,19 @@
     }
 }
 
+/// Calls all seeds once, each as soon as it is connected.
+async fn call_seeds(gateway: &Gateway, connections: &mut NeighbourConnections, seeds: &[SocketAddr]) {
+    let began_at = monotonic_now();
+    gateway.neighbours().refresh(seeds.iter().copied(), began_at);
+    let addrs = gateway.neighbours().next_round(gateway.config_version(), true);
+    let connected = connections.connect_all(&addrs);
+    while let Ok((addr, peer)) = connected.recv().await {
+        connections.record(addr, peer, began_at);
+        call(gateway, connections, gateway.settings.peer_listen, addr).await;
+    }
+    gateway.set_neighbours_called();
+}
+
 async fn call(
     gateway: &Gateway,
     connections: &mut NeighbourConnections,
