Read in health checks, too, that a server is leaving

A server states in all its responses that it is leaving, also in its report to the instance that checks its group. Only responses to requests were read, so an instance that had not sent the server a request for some time sent it one more.

The report of an engine now says whether its server leaves, and the agent beside the engine relays the field. Checks ask as often as before.

--- a/crates/fuchsiabay-gateway/src/agent.rs
+++ b/crates/fuchsiabay-gateway/src/agent.rs
@@ -65,6 +65,8 @@
     pub engine: SocketAddr,
     /// Prefix of the request paths that are forwarded to the engine.
     pub path_prefix: &'static str,
+    /// The response header with which the engine states that it is leaving. It is relayed.
+    pub leaving_header: &'static str,
     /// The engine's path for token counts.
     pub counts_path: &'static str,
     /// Decodes the engine's token counts.
@@ -159,7 +161,7 @@
             return;
         };
         let response = agent.handle(&head, &body).await;
-        let bytes = encode_response(response.as_ref());
+        let bytes = encode_response(response.as_ref(), agent.settings.leaving_header);
         if socket.write_all(&bytes).await.is_err() || !head.keeps_alive {
             return;
         }
@@ -299,13 +301,18 @@
     }
 }
 
-fn encode_response(response: Option<&CallResponse>) -> Vec<u8> {
+/// Encodes a response of the engine, of whose header fields only `relayed_header` is kept.
+fn encode_response(response: Option<&CallResponse>, relayed_header: &'static str) -> Vec<u8> {
     let (status, body) = response.map_or((504, &[][..]), |response| (response.status, &response.body));
     let mut out = format!(
-        "HTTP/1.1 {status} Response\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n",
+        "HTTP/1.1 {status} Response\r\nContent-Type: application/json\r\nContent-Length: {}\r\n",
         body.len()
-    )
-    .into_bytes();
+    );
+    if let Some(value) = response.and_then(|response| response.header(relayed_header)) {
+        out.push_str(&format!("{relayed_header}: {value}\r\n"));
+    }
+    out.push_str("\r\n");
+    let mut out = out.into_bytes();
     out.extend_from_slice(body);
     out
 }
--- a/crates/fuchsiabay-gateway/src/groups/engine_control.rs
+++ b/crates/fuchsiabay-gateway/src/groups/engine_control.rs
@@ -3,7 +3,9 @@
 use std::future::Future;
 
 use fuchsiabay_balancer::ServerRecord;
-use fuchsiabay_lockstep::{DemandDelta, Order, OrderReply, RankState};
+use fuchsiabay_lockstep::{DemandDelta, Order, OrderReply};
+
+use super::EngineReport;
 
 /// Why a query of an engine failed.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -32,11 +34,9 @@
     /// Returns whether the demand of the server can be queried without pausing its group.
     fn can_query_without_pause(&self, server: &ServerRecord) -> bool;
 
-    /// Returns the name of the group that the server belongs to and the state of its rank, or None if it is in no group.
-    fn state(
-        &self,
-        server: &ServerRecord,
-    ) -> impl Future<Output = Result<Option<(String, RankState)>, EngineError>> + Send;
+    /// Returns what the engine of the server reports about itself.
+    fn report(&self, server: &ServerRecord)
+    -> impl Future<Output = Result<EngineReport, EngineError>> + Send;
 
     /// Returns how many tokens of the rank's requests were routed to each expert since the previous query.
     fn demand(&self, server: &ServerRecord) -> impl Future<Output = Result<DemandDelta, EngineError>> + Send;
--- a/crates/fuchsiabay-gateway/src/groups/group_check.rs
+++ b/crates/fuchsiabay-gateway/src/groups/group_check.rs
@@ -7,7 +7,10 @@
 use fuchsiabay_runtime::monotonic_now;
 use smol::Timer;
 
-use super::{EngineControl, orders::read_states};
+use super::{
+    EngineControl,
+    orders::{rank_states, read_reports},
+};
 use crate::{gateway::Gateway, shard::ServiceShard};
 
 /// Interval at which requested checks are made.
@@ -64,8 +67,14 @@
     let queried = survey.groups.next_queries(&ids);
     let asked: Vec<_> = queried.iter().map(|i| servers[*i].clone()).collect();
     let asked_at = monotonic_now();
-    let states = read_states(engines, &asked).await;
+    let reports = read_reports(engines, &asked).await;
     let now = monotonic_now();
+    for (server, _) in reports.iter().filter(|(_, report)| report.is_leaving) {
+        if shard.record_leaving(server) {
+            log::info!(service = shard.name().as_str(), server = server.id.as_str(); "leaving: stated by a server");
+        }
+    }
+    let states = rank_states(reports);
     for (server, ..) in &states {
         gateway.crashes().record_response(&server.as_ref().into(), asked_at, now);
     }
--- a/crates/fuchsiabay-gateway/src/groups/mod.rs
+++ b/crates/fuchsiabay-gateway/src/groups/mod.rs
@@ -5,11 +5,13 @@
 mod coordinator;
 mod discovery;
 mod engine_control;
+mod engine_report;
 mod group;
 mod group_check;
 mod orders;
 
 pub use engine_control::{EngineControl, EngineError, RankExperts};
+pub use engine_report::EngineReport;
 
 pub(crate) use coordinator::run_coordinator;
 pub(crate) use group_check::run_group_checks;
--- a/crates/fuchsiabay-gateway/src/groups/orders.rs
+++ b/crates/fuchsiabay-gateway/src/groups/orders.rs
@@ -7,7 +7,7 @@
 use fuchsiabay_runtime::spawn;
 use smol::lock::Semaphore;
 
-use super::EngineControl;
+use super::{EngineControl, EngineReport};
 use crate::coordinator_lease::CoordinatorLease;
 
 /// The maximum number of concurrent calls to the ranks of a group. With more, the responses wait for the link and the
@@ -92,23 +92,41 @@
     engines: &Arc<E>,
     servers: &[Arc<ServerRecord>],
 ) -> Vec<(Arc<ServerRecord>, String, RankState)> {
-    let states = call_each(servers.to_vec(), |server| {
+    rank_states(read_reports(engines, servers).await)
+}
+
+/// Reads the reports of `servers` concurrently. Servers that do not respond are left out.
+pub(super) async fn read_reports<E: EngineControl>(
+    engines: &Arc<E>,
+    servers: &[Arc<ServerRecord>],
+) -> Vec<(Arc<ServerRecord>, EngineReport)> {
+    let results = call_each(servers.to_vec(), |server| {
         let engines = engines.clone();
         async move {
-            let state = engines.state(&server).await;
-            (server, state)
+            let report = engines.report(&server).await;
+            (server, report)
         }
     })
     .await;
-    let mut known = Vec::with_capacity(states.len());
-    for (server, state) in states {
-        match state {
-            Ok(Some((group, state))) => known.push((server, group, state)),
-            Ok(None) => {}
-            Err(error) => log::debug!("group: failed to read the state of a rank: {error}"),
+    let mut reports = Vec::with_capacity(results.len());
+    for (server, report) in results {
+        match report {
+            Ok(report) => reports.push((server, report)),
+            Err(error) => log::debug!("group: failed to read the report of a rank: {error}"),
         }
     }
-    known
+    reports
+}
+
+/// Returns the states of the ranks in `reports`. Servers in no group are left out.
+pub(super) fn rank_states(
+    reports: Vec<(Arc<ServerRecord>, EngineReport)>,
+) -> Vec<(Arc<ServerRecord>, String, RankState)> {
+    let states = reports.into_iter().filter_map(|(server, report)| {
+        let (group, state) = report.rank?;
+        Some((server, group, state))
+    });
+    states.collect()
 }
 
 fn reply_name(reply: OrderReply) -> &'static str {
--- a/crates/fuchsiabay-gateway/src/header_names.rs
+++ b/crates/fuchsiabay-gateway/src/header_names.rs
@@ -36,3 +36,10 @@
     /// Priority of the request at the engine.
     pub priority: &'static str,
 }
+
+impl HeaderNames {
+    /// Returns whether a server states that it is leaving. `get` returns the value of a header field of its response.
+    pub fn states_leaving<'a>(&self, get: impl Fn(&'static str) -> Option<&'a str>) -> bool {
+        get(self.leaving).is_some_and(|value| value.trim() == "1")
+    }
+}
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -38,7 +38,7 @@
 pub use client::{CallError, CallResponse, HttpClient};
 pub use compression::{ORDER_ENCODING, compress};
 pub use daemon::{RunningGateway, StartError, run};
-pub use groups::{EngineControl, EngineError, RankExperts};
+pub use groups::{EngineControl, EngineError, EngineReport, RankExperts};
 pub use header_names::HeaderNames;
 pub use membership::MEMBERSHIP_LEASE_MS;
 pub use settings::{GatewaySettings, LiveSettings};
--- a/crates/fuchsiabay-gateway/src/request/server_statements.rs
+++ b/crates/fuchsiabay-gateway/src/request/server_statements.rs
@@ -16,7 +16,7 @@
         record_load(request, server, load);
     }
     record_rate_limit(request, server, head.headers.get(header_names.limit), head.is_success());
-    if head.headers.get(header_names.leaving).is_some_and(|value| value.trim() == "1") {
+    if header_names.states_leaving(|name| head.headers.get(name)) {
         record_leaving(request, server);
     }
     if head.status == UNAVAILABLE_STATUS
--- a/crates/fuchsiabay-gateway/tests/neighbours.rs
+++ b/crates/fuchsiabay-gateway/tests/neighbours.rs
@@ -216,6 +216,7 @@
             listen: "127.0.0.1:0".parse().unwrap(),
             engine: engine.addr,
             path_prefix: "/control/",
+            leaving_header: "X-Leaving",
             counts_path: "/control/counts",
             decode_counts: |_| None,
         };
--- a/crates/fuchsiabay-gateway/tests/server_statements.rs
+++ b/crates/fuchsiabay-gateway/tests/server_statements.rs
@@ -10,8 +10,12 @@
     time::{Duration, Instant},
 };
 
+use fuchsiabay_base::{InstanceId, ServiceName};
 use smol::Timer;
-use support::{Behaviour, Caller, Harness, Response, harness::record};
+use support::{
+    Behaviour, Caller, Harness, Response,
+    harness::{config, engine, record},
+};
 
 /// The time within which a request is refused once it is known that no server will accept it. It includes the 150 ms after which
 /// servers state that.
@@ -88,6 +92,24 @@
     server_that_leaves_gets_nothing_more_from_any_instance(3, "/unsafe/a", Behaviour::Leaving(0));
 }
 
+/// Guards against an instance that sends requests to a server that has stated only in a health check that it is leaving.
+#[test]
+fn server_that_leaves_in_a_health_check_gets_nothing_more() {
+    smol::block_on(async {
+        let harness = &Harness::start_instances(1, &[&[OK], &[OK]]).await[0];
+        let mut with_engine = config(2);
+        with_engine.services = [(ServiceName::new("s"), Some(engine()))].into();
+        *harness.platform.config.lock().unwrap() = Some(with_engine);
+        harness.platform.leaving_engines.lock().unwrap().push(InstanceId::new("i-0"));
+        // Health checks begin when the configuration is in force, and are made once a second.
+        Timer::after(Duration::from_millis(2_500)).await;
+        for _ in 0..20 {
+            assert_eq!(send(harness, "/safe/a").await.status, 200);
+        }
+        assert_eq!((received(harness, 0), received(harness, 1)), (0, 20));
+    });
+}
+
 /// Guards against requests that waited in the queue, or that resume a stream, at a server that is leaving, and against a server that
 /// gets nothing after it has started again.
 #[test]
--- a/crates/fuchsiabay-gateway/tests/support/harness.rs
+++ b/crates/fuchsiabay-gateway/tests/support/harness.rs
@@ -7,7 +7,8 @@
 };
 
 use fuchsiabay_balancer::{
-    CallerLimits, RetryLimits, Route, RouteKind, ServerRecord, ServerState, ServingConfig, Target, Workspace,
+    CallerLimits, EngineProfile, RetryLimits, Route, RouteKind, ServerRecord, ServerState, ServingConfig,
+    Target, Workspace,
 };
 use fuchsiabay_base::{InstanceId, ServiceName, WorkspaceId, ZoneName};
 use fuchsiabay_gateway::{GatewaySettings, HeaderNames, HttpClient, LiveSettings, RunningGateway};
@@ -91,6 +92,26 @@
     }
 }
 
+/// Returns the profile of an engine without experts.
+pub fn engine() -> EngineProfile {
+    EngineProfile {
+        slots: 4,
+        kv_capacity: 1_000,
+        stride: 1,
+        step_ms: 1.0,
+        per_request_ms: 0.0,
+        context_ms_per_k: 0.0,
+        prefill_per_s: 0.0,
+        mean_prompt_tokens: 1.0,
+        mean_response_tokens: 1.0,
+        sets: 0,
+        experts: 0,
+        max_experts_per_rank: 0,
+        max_added_per_rank: 0,
+        copy_ms: 0.0,
+    }
+}
+
 pub fn record(id: usize, server: &FakeServer) -> ServerRecord {
     ServerRecord {
         id: InstanceId::new(format!("i-{id}")),
--- a/crates/fuchsiabay-gateway/tests/support/platform.rs
+++ b/crates/fuchsiabay-gateway/tests/support/platform.rs
@@ -10,9 +10,10 @@
 };
 
 use fuchsiabay_balancer::{ServerRecord, ServingConfig, StorePosition};
+use fuchsiabay_base::InstanceId;
 use fuchsiabay_gateway::{
-    ConfigSource, ConfigUpdate, EngineControl, EngineError, MembershipSource, MembershipView, Platform,
-    RankExperts, ServerSource, ServerUpdate, SourceError,
+    ConfigSource, ConfigUpdate, EngineControl, EngineError, EngineReport, MembershipSource, MembershipView,
+    Platform, RankExperts, ServerSource, ServerUpdate, SourceError,
 };
 use fuchsiabay_lockstep::{DemandDelta, LeaseTerm, Order, OrderReply, RankState};
 use smol::Timer;
@@ -32,6 +33,8 @@
     pub position: Arc<AtomicU64>,
     /// How often the store has returned from a copy.
     pub epoch: Arc<AtomicU64>,
+    /// The servers whose engines report that they are leaving.
+    pub leaving_engines: Arc<Mutex<Vec<InstanceId>>>,
     /// The number of reads of the configuration and the directory.
     pub reads: Arc<AtomicUsize>,
 }
@@ -87,15 +90,31 @@
     async fn leave(&mut self) {}
 }
 
-pub struct NoEngines;
+/// Engines that are groups of one rank each and report nothing else.
+pub struct FakeEngines {
+    platform: FakePlatform,
+}
 
-impl EngineControl for NoEngines {
+impl EngineControl for FakeEngines {
     fn can_query_without_pause(&self, _: &ServerRecord) -> bool {
         true
     }
 
-    async fn state(&self, _: &ServerRecord) -> Result<Option<(String, RankState)>, EngineError> {
-        Ok(None)
+    async fn report(&self, server: &ServerRecord) -> Result<EngineReport, EngineError> {
+        let state = RankState {
+            epoch: 1,
+            rank: 0,
+            group_size: 1,
+            is_open: true,
+            slowdown: 1.0,
+            step: 0,
+            map_version: 0,
+            prepared: None,
+            armed: None,
+            held: None,
+        };
+        let is_leaving = self.platform.leaving_engines.lock().unwrap().contains(&server.id);
+        Ok(EngineReport { rank: Some((server.id.to_string(), state)), is_leaving })
     }
 
     async fn demand(&self, server: &ServerRecord) -> Result<DemandDelta, EngineError> {
@@ -115,7 +134,7 @@
     type Config = Source;
     type Servers = Source;
     type Membership = Source;
-    type Engines = NoEngines;
+    type Engines = FakeEngines;
 
     fn config(&self) -> Source {
         Source { platform: self.clone(), seen: 0 }
@@ -129,7 +148,7 @@
         Source { platform: self.clone(), seen: 0 }
     }
 
-    fn engines(&self) -> NoEngines {
-        NoEngines
+    fn engines(&self) -> FakeEngines {
+        FakeEngines { platform: self.clone() }
     }
 }
