Do not act on states of ranks that are older than the last orders

Cause: a coordinator that reads a group anew acts on reported states, which are some hundred milliseconds old, each by another amount. Right after a switch, some ranks are reported as armed, others as they were before, and the hold not at all. That looked like an unfinished switch, and the coordinator disarmed some ranks of its own complete one.

Ruled out by the logs: orders that are carried out late, and two coordinators.

`OrderHistory` records until when orders were sent to a group; the group is read anew only 500 ms later, which a coordinator that takes over waits for already.

--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -9,8 +9,8 @@
 use fuchsiabay_balancer::{EngineProfile, ServerRecord};
 use fuchsiabay_base::ServiceName;
 use fuchsiabay_lockstep::{
-    ExpertLayout, LayoutLimits, LayoutPlan, LayoutPlanner, MapSwitch, SwitchOutcome, SwitchTiming,
-    next_version,
+    ExpertLayout, LayoutLimits, LayoutPlan, LayoutPlanner, MapSwitch, OrderHistory, SwitchOutcome,
+    SwitchTiming, next_version,
 };
 use fuchsiabay_runtime::monotonic_now;
 use futures_lite::future;
@@ -66,6 +66,7 @@
 pub(crate) async fn run_coordinator<E: EngineControl>(gateway: Arc<Gateway>, engines: Arc<E>) {
     let mut was_coordinator = false;
     let mut groups: HashMap<ServiceName, Vec<Group>> = HashMap::new();
+    let mut history = OrderHistory::default();
     loop {
         if !gateway.coordinator_lease().is_held() {
             if std::mem::take(&mut was_coordinator) {
@@ -78,7 +79,7 @@
         if !std::mem::replace(&mut was_coordinator, true) {
             log::info!("group: coordinator lease acquired");
         }
-        groups = run_round(&gateway, &engines, std::mem::take(&mut groups)).await;
+        groups = run_round(&gateway, &engines, std::mem::take(&mut groups), &mut history).await;
         let is_discovering =
             groups.values().any(|groups| groups.is_empty() || groups.iter().any(|group| group.is_new));
         Timer::after(if is_discovering { DISCOVERY_INTERVAL } else { SAMPLE_INTERVAL }).await;
@@ -90,6 +91,7 @@
     gateway: &Gateway,
     engines: &Arc<E>,
     mut known: HashMap<ServiceName, Vec<Group>>,
+    history: &mut OrderHistory,
 ) -> HashMap<ServiceName, Vec<Group>> {
     let Some(config) = gateway.config() else {
         return known;
@@ -105,7 +107,7 @@
             group.ranks.iter().all(|rank| servers.iter().any(|s| is_same_incarnation(s, rank)))
         };
         if groups.is_empty() || known_ranks != servers.len() || !groups.iter().all(is_unchanged) {
-            *groups = discover(gateway, engines, &servers, engine).await;
+            *groups = discover(gateway, engines, &servers, engine, history).await;
         }
         let mut kept = Vec::new();
         for mut group in groups.drain(..) {
@@ -113,7 +115,8 @@
             if !sample_demand(engines, &mut group).await {
                 continue;
             }
-            if rebalance(gateway, engines, &mut group, engine, config.gap_goal_ms(shard.name())).await {
+            let gap_goal_ms = config.gap_goal_ms(shard.name());
+            if rebalance(gateway, engines, &mut group, engine, gap_goal_ms, history).await {
                 kept.push(group);
             }
         }
@@ -164,6 +167,7 @@
     group: &mut Group,
     engine: &EngineProfile,
     gap_goal_ms: Option<u64>,
+    history: &mut OrderHistory,
 ) -> bool {
     let now = monotonic_now();
     if group.pending_switch_step.is_some_and(|step| group.step >= step) {
@@ -194,7 +198,7 @@
     }
     group.map_version = next_version(group.map_version, gateway.coordinator_lease().term());
     let started_at = monotonic_now();
-    let end = run_switch(gateway, engines, group, engine, &plan).await;
+    let end = run_switch(gateway, engines, group, engine, &plan, history).await;
     let ms = monotonic_now().millis_since(started_at);
     let (outcome, step) = match end {
         SwitchOutcome::Switched { step } => ("switched", step),
@@ -234,6 +238,7 @@
     group: &mut Group,
     engine: &EngineProfile,
     plan: &LayoutPlan,
+    history: &mut OrderHistory,
 ) -> SwitchOutcome {
     let now = monotonic_now();
     let max_copies = group.layout.copies_by_rank(&plan.layout).into_iter().max().unwrap_or(0);
@@ -258,10 +263,14 @@
         }
         if orders.is_empty() {
             Timer::after(SWITCH_POLL_INTERVAL).await;
-        }
-        let lease = gateway.coordinator_lease();
-        for (rank, order, reply) in send_all(lease, engines, &group.ranks, group.epoch, orders).await {
-            switch.handle_reply(rank, &order, reply, monotonic_now());
+        } else {
+            let lease = gateway.coordinator_lease();
+            let replies = send_all(lease, engines, &group.ranks, group.epoch, orders).await;
+            let now = monotonic_now();
+            history.record(&group.name, group.epoch, now);
+            for (rank, order, reply) in replies {
+                switch.handle_reply(rank, &order, reply, now);
+            }
         }
         let to_read = switch.ranks_to_read();
         if !to_read.is_empty() && !read_ranks(engines, group, &mut switch, to_read).await {
--- a/crates/fuchsiabay-gateway/src/groups/discovery.rs
+++ b/crates/fuchsiabay-gateway/src/groups/discovery.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeMap, sync::Arc};
 
 use fuchsiabay_balancer::{EngineProfile, ServerRecord};
-use fuchsiabay_lockstep::{ExpertLayout, RankState, Recovery};
+use fuchsiabay_lockstep::{ExpertLayout, OrderHistory, RankState, Recovery};
 use fuchsiabay_runtime::monotonic_now;
 
 use super::{
@@ -13,13 +13,14 @@
 };
 use crate::gateway::Gateway;
 
-/// Finds the open groups among `servers`, completes or rolls back unfinished switches of a previous coordinator, and reads
-/// the layouts.
+/// Finds the open groups among `servers`, completes or rolls back unfinished switches, and reads the layouts. Groups whose
+/// states may lack the effects of orders in `history` are left out.
 pub(super) async fn discover<E: EngineControl>(
     gateway: &Gateway,
     engines: &Arc<E>,
     servers: &[Arc<ServerRecord>],
     engine: &EngineProfile,
+    history: &mut OrderHistory,
 ) -> Vec<Group> {
     let mut by_group: BTreeMap<String, Vec<(Arc<ServerRecord>, RankState)>> = BTreeMap::new();
     let read_at = monotonic_now();
@@ -35,17 +36,22 @@
             log::debug!("group: {name} is incomplete or not open");
             continue;
         }
+        let epoch = ranks[0].1.epoch;
+        if !history.is_reported(&name, epoch, read_at) {
+            continue;
+        }
         let is_initial = ranks.iter().all(|(_, state)| state.is_initial());
         if !gateway.coordinator_lease().is_exclusive() && !is_initial {
             continue;
         }
         if !recover(gateway, engines, &name, &ranks).await {
+            history.record(&name, epoch, monotonic_now());
             continue;
         }
         let Some(layout) = read_layout(engines, &ranks).await else {
             continue;
         };
-        log::info!(group = name.as_str(), epoch = ranks[0].1.epoch, map = ranks[0].1.map_version, ranks = ranks.len(); "group: found");
+        log::info!(group = name.as_str(), epoch, map = ranks[0].1.map_version, ranks = ranks.len(); "group: found");
         let mut group = Group::new(name, ranks, layout, engine, monotonic_now());
         group.record_read(read_ms);
         groups.push(group);
--- a/crates/fuchsiabay-lockstep/src/lib.rs
+++ b/crates/fuchsiabay-lockstep/src/lib.rs
@@ -7,7 +7,8 @@
 //! This crate must not depend on sockets, clocks or the platform. Replies and time are arguments.
 //!
 //! Invariants: the hold of a step is confirmed before any rank is armed for it; the hold is released only when every rank
-//! is armed with the same version and step, or when no rank is armed; a version identifies exactly one layout.
+//! is armed with the same version and step, or when no rank is armed; reported states that may lack the effects of orders lead
+//! to no order; a version identifies exactly one layout.
 
 mod demand;
 mod demand_counter;
@@ -16,6 +17,7 @@
 mod lease_term;
 mod membership_history;
 mod order;
+mod order_history;
 mod pause_budget;
 mod plan;
 mod planner;
@@ -32,6 +34,7 @@
 pub use lease_term::LeaseTerm;
 pub use membership_history::MembershipHistory;
 pub use order::{Order, OrderReply};
+pub use order_history::OrderHistory;
 pub use pause_budget::PauseBudget;
 pub use plan::LayoutPlan;
 pub use planner::{LayoutLimits, LayoutPlanner};
--- a/crates/fuchsiabay-lockstep/src/rank_state.rs
+++ b/crates/fuchsiabay-lockstep/src/rank_state.rs
@@ -1,5 +1,8 @@
 //! The state that a rank reports.
 
+/// The longest time by which reported states lag behind, in milliseconds.
+pub(crate) const REPORT_LAG_MS: u64 = 500;
+
 /// A map that a rank is armed with and will switch to.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct ArmedMap {
--- a/crates/fuchsiabay-lockstep/src/takeover.rs
+++ b/crates/fuchsiabay-lockstep/src/takeover.rs
@@ -2,9 +2,7 @@
 
 use fuchsiabay_base::{Timestamp, is_mechanism_enabled};
 
-/// The minimum wait of a new coordinator, in milliseconds. Reported rank states lag by several hundred milliseconds and must
-/// include the effects of the previous coordinator's orders.
-const MIN_WAIT_MS: u64 = 500;
+use crate::rank_state::REPORT_LAG_MS;
 
 /// The start of one coordinator's term.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,11 +19,12 @@
 impl Takeover {
     /// Returns when this coordinator may send orders to a group that has received orders before.
     ///
-    /// Two coordinators must never send orders at the same time: one could release a step that the other holds.
+    /// Two coordinators must never send orders at the same time: one could release a step that the other holds. The reported
+    /// states of the ranks must show the effects of the previous coordinator's orders.
     pub fn ready_at(&self) -> Timestamp {
         if self.predecessor_stopped || !is_mechanism_enabled("wait-for-lease-end") {
-            return self.acquired_at.plus_millis(MIN_WAIT_MS);
+            return self.acquired_at.plus_millis(REPORT_LAG_MS);
         }
-        self.acquired_at.plus_millis(self.lease_ms.max(MIN_WAIT_MS))
+        self.acquired_at.plus_millis(self.lease_ms.max(REPORT_LAG_MS))
     }
 }
--- a/crates/fuchsiabay-lockstep/tests/faults.rs
+++ b/crates/fuchsiabay-lockstep/tests/faults.rs
@@ -8,7 +8,8 @@
 use fastrand::Rng;
 use fuchsiabay_base::Timestamp;
 use fuchsiabay_lockstep::{
-    ArmedMap, ExpertLayout, MapSwitch, Order, OrderReply, RankState, Recovery, SwitchOutcome, SwitchTiming,
+    ArmedMap, ExpertLayout, MapSwitch, Order, OrderHistory, OrderReply, RankState, Recovery, SwitchOutcome,
+    SwitchTiming,
 };
 
 const RANKS: usize = 6;
@@ -23,6 +24,10 @@
 const RUN_MS: u64 = 50_000;
 /// The time after which another coordinator takes over, in milliseconds.
 const TAKEOVER_MS: u64 = 2_100;
+/// The share of completed switches after which the coordinator reads the group anew, as it does when a server joins, in percent.
+const REDISCOVERY_PERCENT: u32 = 12;
+/// The time for which a rank reports the same state, in milliseconds.
+const REPORT_AGE_MS: std::ops::Range<u64> = 50..300;
 
 #[derive(Clone, Debug, Default)]
 struct Rank {
@@ -45,6 +50,21 @@
         }
     }
 
+    fn state(&self, i: usize, step: u64) -> RankState {
+        RankState {
+            epoch: 1,
+            rank: i as u16,
+            group_size: RANKS as u16,
+            is_open: true,
+            slowdown: 1.0,
+            step,
+            map_version: self.map_version,
+            prepared: self.prepared,
+            armed: self.armed,
+            held: self.held,
+        }
+    }
+
     fn execute(&mut self, order: &Order, step: u64, now_ms: u64) -> OrderReply {
         match *order {
             Order::Prepare { version, .. } if self.prepared == Some(version) => OrderReply::Accepted,
@@ -94,6 +114,8 @@
     ranks: Vec<Rank>,
     step: u64,
     next_step_ms: u64,
+    /// The states that the ranks report, and when each rank reports its state anew, in milliseconds.
+    reports: Vec<(RankState, u64)>,
     /// Delayed orders: when each is executed, in milliseconds, by which rank, and the order.
     delayed: Vec<(u64, usize, Order)>,
     rng: Rng,
@@ -104,10 +126,12 @@
 impl Group {
     fn new(seed: u64, lost_percent: u32) -> Self {
         let ranks = vec![Rank::default(); RANKS];
+        let reports = ranks.iter().enumerate().map(|(i, rank)| (rank.state(i, 0), 0)).collect();
         Self {
             ranks,
             step: 0,
             next_step_ms: STEP_MS,
+            reports,
             delayed: Vec::new(),
             rng: Rng::with_seed(seed),
             lost_percent,
@@ -135,6 +159,7 @@
             self.ranks[rank].execute(&order, self.step, now_ms);
         }
         self.ranks.iter_mut().for_each(|rank| rank.advance(now_ms));
+        self.update_reports(now_ms);
         let is_held = self.ranks.iter().any(|rank| rank.held == Some(self.step + 1));
         if now_ms < self.next_step_ms || is_held {
             return;
@@ -155,36 +180,53 @@
         );
     }
 
+    fn update_reports(&mut self, now_ms: u64) {
+        for (i, (report, next_ms)) in self.reports.iter_mut().enumerate() {
+            if *next_ms <= now_ms {
+                *report = self.ranks[i].state(i, self.step);
+                *next_ms = now_ms + self.rng.u64(REPORT_AGE_MS);
+            }
+        }
+    }
+
+    /// Returns the reported states, which are as of different moments.
     fn states(&self) -> Vec<RankState> {
-        let state = |(i, rank): (usize, &Rank)| RankState {
-            epoch: 1,
-            rank: i as u16,
-            group_size: RANKS as u16,
-            is_open: true,
-            slowdown: 1.0,
-            step: self.step,
-            map_version: rank.map_version,
-            prepared: rank.prepared,
-            armed: rank.armed,
-            held: rank.held,
-        };
-        self.ranks.iter().enumerate().map(state).collect()
+        self.reports.iter().map(|(report, _)| report.clone()).collect()
     }
 }
 
 #[derive(Debug)]
 enum Coordinator {
-    Down { until_ms: u64 },
+    Down {
+        until_ms: u64,
+    },
     Recovering,
+    /// The coordinator knows the group, which begins this step under a new map.
+    Pending {
+        step: u64,
+    },
     Switching(Box<MapSwitch>),
 }
 
+/// Starts a switch under a version that the coordinator of `term` has not used.
+fn start_switch(group: &Group, term: u64, layout: &Arc<ExpertLayout>, now: Timestamp) -> Coordinator {
+    let highest = group.ranks.iter().map(|rank| rank.highest_version).max().unwrap_or(0);
+    let version = (highest / 100 + 1) * 100 + term;
+    let timing = SwitchTiming {
+        copies_done_at: now.plus_millis(100),
+        prepare_deadline: now.plus_millis(2_500),
+        lead_steps: 2,
+    };
+    Coordinator::Switching(Box::new(MapSwitch::new(version, layout.clone(), group.step, timing)))
+}
+
 /// Simulates one run. Returns the number of completed switches and the number rolled back after the hold.
 fn simulate(seed: u64, lost_percent: u32, kill_permille: u32) -> (u32, u32) {
     let mut group = Group::new(seed, lost_percent);
     let mut rng = Rng::with_seed(!seed);
     let layout = Arc::new(ExpertLayout { sets: vec![vec![vec![0]; RANKS]] });
     let mut coordinator = Coordinator::Recovering;
+    let mut orders_sent = OrderHistory::default();
     let mut term = 1;
     let mut switches = 0;
     let mut rolled_back = 0;
@@ -199,38 +241,30 @@
             Coordinator::Down { until_ms } if now_ms < until_ms => Coordinator::Down { until_ms },
             Coordinator::Down { .. } => {
                 term += 1;
+                orders_sent = OrderHistory::default();
                 Coordinator::Recovering
             }
+            Coordinator::Recovering if !orders_sent.is_reported("g", 1, now) => Coordinator::Recovering,
             Coordinator::Recovering => match Recovery::from_states(&group.states()) {
                 Recovery::Clean if group.ranks.iter().any(|rank| rank.armed.is_some()) => {
                     Coordinator::Recovering
                 }
-                Recovery::Clean => {
-                    let highest = group.ranks.iter().map(|rank| rank.highest_version).max().unwrap_or(0);
-                    let version = (highest / 100 + 1) * 100 + term;
-                    let timing = SwitchTiming {
-                        copies_done_at: now.plus_millis(100),
-                        prepare_deadline: now.plus_millis(2_500),
-                        lead_steps: 2,
-                    };
-                    Coordinator::Switching(Box::new(MapSwitch::new(
-                        version,
-                        layout.clone(),
-                        group.step,
-                        timing,
-                    )))
-                }
+                Recovery::Clean => start_switch(&group, term, &layout, now),
                 Recovery::Orders(orders) => {
                     for (rank, order) in orders {
                         group.order(rank, &order, now_ms);
+                        orders_sent.record("g", 1, now);
                     }
                     Coordinator::Recovering
                 }
             },
+            Coordinator::Pending { step } if group.step < step => Coordinator::Pending { step },
+            Coordinator::Pending { .. } => start_switch(&group, term, &layout, now),
             Coordinator::Switching(mut switch) => {
                 switch.record_step(group.step);
                 for (rank, order) in switch.poll(now) {
                     let reply = group.order(rank, &order, now_ms);
+                    orders_sent.record("g", 1, now);
                     switch.handle_reply(rank, &order, reply, now);
                 }
                 let states = group.states();
@@ -242,7 +276,12 @@
                     Some(end) => {
                         switches += u32::from(matches!(end, SwitchOutcome::Switched { .. }));
                         rolled_back += u32::from(end == SwitchOutcome::Aborted("taken back"));
-                        Coordinator::Recovering
+                        match end {
+                            SwitchOutcome::Switched { step } if rng.u32(..100) >= REDISCOVERY_PERCENT => {
+                                Coordinator::Pending { step }
+                            }
+                            _ => Coordinator::Recovering,
+                        }
                     }
                 }
             }
--- a/crates/fuchsiabay-prove/src/lockstep_group.rs
+++ b/crates/fuchsiabay-prove/src/lockstep_group.rs
@@ -12,6 +12,9 @@
 /// The time that a rank takes to copy its experts, in milliseconds.
 const COPY_MS: u64 = 90;
 
+/// The time for which a rank reports the same state, in milliseconds.
+const REPORT_AGE_MS: std::ops::Range<u64> = 50..300;
+
 /// An expert map: its version and its layout. The initial map has no layout.
 type ExpertMap = (u64, Option<Arc<ExpertLayout>>);
 
@@ -44,12 +47,24 @@
     pub(crate) step: u64,
     next_step_ms: u64,
     delayed_orders: Vec<DelayedOrder>,
+    /// The states that the ranks report, and when each rank reports its state anew, in milliseconds.
+    reports: Vec<(RankState, u64)>,
+    rng: fastrand::Rng,
 }
 
 impl LockstepGroup {
-    pub(crate) fn new() -> Self {
+    pub(crate) fn new(seed: u64) -> Self {
         let ranks = vec![Rank::default(); RANKS];
-        Self { ranks, epoch: 1, step: 0, next_step_ms: STEP_MS, delayed_orders: Vec::new() }
+        let reports = ranks.iter().enumerate().map(|(i, rank)| (rank.state(i, 1, 0), 0)).collect();
+        Self {
+            ranks,
+            epoch: 1,
+            step: 0,
+            next_step_ms: STEP_MS,
+            delayed_orders: Vec::new(),
+            reports,
+            rng: fastrand::Rng::with_seed(seed),
+        }
     }
 
     /// Forms the group again under a new epoch, with no map prepared or armed and no step held.
@@ -82,6 +97,7 @@
             self.execute(rank, epoch, &order, now_ms);
         }
         self.ranks.iter_mut().for_each(|rank| rank.finish_copy(now_ms));
+        self.update_reports(now_ms);
         let is_held = self.ranks.iter().any(|rank| rank.held == Some(self.step + 1));
         if now_ms < self.next_step_ms || is_held {
             return Ok(());
@@ -99,25 +115,37 @@
         Err(format!("a step began under the maps {maps:?}"))
     }
 
-    /// Returns the state of one rank.
-    pub(crate) fn rank_state(&self, i: usize) -> RankState {
-        let rank = &self.ranks[i];
+    fn update_reports(&mut self, now_ms: u64) {
+        for (i, (report, next_ms)) in self.reports.iter_mut().enumerate() {
+            if *next_ms <= now_ms {
+                *report = self.ranks[i].state(i, self.epoch, self.step);
+                *next_ms = now_ms + self.rng.u64(REPORT_AGE_MS);
+            }
+        }
+    }
+
+    /// Returns the state that a rank reports, which may be outdated.
+    pub(crate) fn reported_state(&self, i: usize) -> RankState {
+        self.reports[i].0.clone()
+    }
+}
+
+impl Rank {
+    fn state(&self, i: usize, epoch: u64, step: u64) -> RankState {
         RankState {
-            epoch: self.epoch,
+            epoch,
             rank: i as u16,
             group_size: RANKS as u16,
             is_open: true,
             slowdown: 1.0,
-            step: self.step,
-            map_version: rank.map.0,
-            prepared: rank.prepared.as_ref().map(|(version, _)| *version),
-            armed: rank.armed,
-            held: rank.held,
+            step,
+            map_version: self.map.0,
+            prepared: self.prepared.as_ref().map(|(version, _)| *version),
+            armed: self.armed,
+            held: self.held,
         }
     }
-}
 
-impl Rank {
     fn finish_copy(&mut self, now_ms: u64) {
         if let Some((map, _)) = self.copying.take_if(|(_, until_ms)| *until_ms <= now_ms) {
             self.prepared = Some(map);
--- a/crates/fuchsiabay-prove/src/lockstep_world.rs
+++ b/crates/fuchsiabay-prove/src/lockstep_world.rs
@@ -4,8 +4,8 @@
 
 use fuchsiabay_base::{Timestamp, is_mechanism_enabled};
 use fuchsiabay_lockstep::{
-    ExpertLayout, LeaseTerm, MapSwitch, Order, OrderReply, Recovery, SwitchOutcome, SwitchTiming, Takeover,
-    next_version,
+    ExpertLayout, LeaseTerm, MapSwitch, Order, OrderHistory, OrderReply, Recovery, SwitchOutcome,
+    SwitchTiming, Takeover, next_version,
 };
 
 use crate::{
@@ -14,6 +14,8 @@
     lockstep_script::{LockstepAction, RANKS, SCRIPT_MS},
 };
 
+/// The name of the group.
+const GROUP: &str = "g";
 /// The time step of the simulation, in milliseconds.
 const TICK_MS: u64 = 5;
 /// When the last fault has ended, in milliseconds. No fault happens from then until the end of the case.
@@ -43,6 +45,13 @@
     stop_at_ms: Option<u64>,
     /// The switch in progress, with the epoch of the group for which it was begun.
     switch: Option<(u64, Box<MapSwitch>)>,
+    history: OrderHistory,
+}
+
+impl Coordinator {
+    fn new(term: u64, idle_until_ms: u64) -> Self {
+        Self { term, idle_until_ms, stop_at_ms: None, switch: None, history: OrderHistory::default() }
+    }
 }
 
 pub(crate) struct LockstepWorld {
@@ -63,9 +72,9 @@
 impl LockstepWorld {
     pub(crate) fn run(steps: &[Step<LockstepAction>], seed: u64) -> Outcome {
         let mut world = Self {
-            group: LockstepGroup::new(),
+            group: LockstepGroup::new(!seed),
             rng: fastrand::Rng::with_seed(seed),
-            coordinators: vec![Coordinator { term: 1, idle_until_ms: 0, stop_at_ms: None, switch: None }],
+            coordinators: vec![Coordinator::new(1, 0)],
             lease_expires_at_ms: None,
             reply_loss: (0, 0),
             unreachable_until_ms: [0; RANKS],
@@ -126,7 +135,7 @@
         let takeover =
             Takeover { acquired_at: Timestamp::from_millis(at_ms), predecessor_stopped, lease_ms: LEASE_MS };
         let idle_until_ms = takeover.ready_at().as_millis();
-        self.coordinators.push(Coordinator { term, idle_until_ms, stop_at_ms: None, switch: None });
+        self.coordinators.push(Coordinator::new(term, idle_until_ms));
         self.lease_expires_at_ms = None;
     }
 
@@ -149,10 +158,12 @@
                 continue;
             }
             match coordinator.switch.take() {
-                Some((epoch, switch)) => coordinator.switch = self.advance_switch(epoch, switch, now_ms),
+                Some((epoch, switch)) => {
+                    coordinator.switch = self.advance_switch(epoch, switch, &mut coordinator.history, now_ms)
+                }
                 // A coordinator that does not know that it has lost the lease continues as before.
                 None if i == holder || !lease_expired => {
-                    coordinator.switch = self.begin_switch(coordinator.term, now_ms)
+                    coordinator.switch = self.begin_switch(coordinator.term, &mut coordinator.history, now_ms)
                 }
                 None => {}
             }
@@ -187,15 +198,27 @@
     }
 
     /// Completes or rolls back the unfinished switch of a previous coordinator, or begins a new one.
-    fn begin_switch(&mut self, term: u64, now_ms: u64) -> Option<(u64, Box<MapSwitch>)> {
+    fn begin_switch(
+        &mut self,
+        term: u64,
+        history: &mut OrderHistory,
+        now_ms: u64,
+    ) -> Option<(u64, Box<MapSwitch>)> {
+        let now = Timestamp::from_millis(now_ms);
         if (0..RANKS).any(|rank| self.is_unreachable(rank, now_ms)) {
             return None;
         }
-        let states: Vec<_> = (0..RANKS).map(|rank| self.group.rank_state(rank)).collect();
+        let states: Vec<_> = (0..RANKS).map(|rank| self.group.reported_state(rank)).collect();
+        let epoch = states[0].epoch;
+        let is_in_one_epoch = states.iter().all(|state| state.epoch == epoch);
+        if !is_in_one_epoch || !history.is_reported(GROUP, epoch, now) {
+            return None;
+        }
         if let Recovery::Orders(orders) = Recovery::from_states(&states) {
             for (rank, order) in orders {
-                self.send_order(rank, self.group.epoch, &order, now_ms);
+                self.send_order(rank, epoch, &order, now_ms);
             }
+            history.record(GROUP, epoch, now);
             return None;
         }
         if states.iter().any(|state| state.armed.is_some()) {
@@ -205,13 +228,12 @@
         let version = next_version(highest.unwrap_or(0), LeaseTerm { store_epoch: 0, generation: term });
         let content = vec![self.rng.u16(..)];
         let layout = Arc::new(ExpertLayout { sets: vec![vec![content; RANKS]] });
-        let now = Timestamp::from_millis(now_ms);
         let timing = SwitchTiming {
             copies_done_at: now.plus_millis(100),
             prepare_deadline: now.plus_millis(2_500),
             lead_steps: 2,
         };
-        Some((self.group.epoch, Box::new(MapSwitch::new(version, layout, self.group.step, timing))))
+        Some((epoch, Box::new(MapSwitch::new(version, layout, self.group.step, timing))))
     }
 
     /// Advances a switch. Returns it unless it has ended.
@@ -219,24 +241,28 @@
         &mut self,
         epoch: u64,
         mut switch: Box<MapSwitch>,
+        history: &mut OrderHistory,
         now_ms: u64,
     ) -> Option<(u64, Box<MapSwitch>)> {
         let now = Timestamp::from_millis(now_ms);
         switch.record_step(self.group.step);
         for (rank, order) in switch.poll(now) {
             let reply = self.send_order(rank, epoch, &order, now_ms);
+            history.record(GROUP, epoch, now);
             switch.handle_reply(rank, &order, reply, now);
         }
         let ranks = switch.ranks_to_read();
         if !ranks.is_empty() {
-            if self.group.epoch != epoch {
-                return None;
-            }
             for rank in ranks {
-                match self.is_unreachable(rank, now_ms) {
-                    true => switch.handle_unreachable(rank),
-                    false => switch.handle_state(rank, &self.group.rank_state(rank), now),
+                if self.is_unreachable(rank, now_ms) {
+                    switch.handle_unreachable(rank);
+                    continue;
+                }
+                let state = self.group.reported_state(rank);
+                if state.epoch != epoch {
+                    return None;
                 }
+                switch.handle_state(rank, &state, now);
             }
         }
         let outcome = switch.outcome();
--- a/crates/fuchsiabay-prove/src/mechanism.rs
+++ b/crates/fuchsiabay-prove/src/mechanism.rs
@@ -92,6 +92,11 @@
         "off: a coordinator issues orders although its predecessor may still run, unaware of the takeover",
         Promise::LockstepMap,
     ),
+    mechanism(
+        "wait-for-reports",
+        "off: a coordinator acts on states of ranks that may lack the effects of its own orders",
+        Promise::LockstepMap,
+    ),
     mechanism(
         "ask-everybody",
         "off: an instance with stale state does not call all others",
