Keep the known groups when a listed server is in none

While the directory lists a server that is in no complete group, such as one that has crashed for good, the coordinator read every group anew in every round, ten times a second: reports and experts of all ranks.

Groups whose ranks are unchanged are kept now, and only the other servers are read.

--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -102,12 +102,16 @@
         };
         let servers = shard.servers();
         let groups = known.entry(shard.name().clone()).or_default();
-        let known_ranks: usize = groups.iter().map(|group| group.ranks.len()).sum();
-        let is_unchanged = |group: &Group| {
-            group.ranks.iter().all(|rank| servers.iter().any(|s| is_same_incarnation(s, rank)))
+        groups.retain(|group| {
+            group.ranks.iter().all(|rank| servers.iter().any(|server| is_same_incarnation(server, rank)))
+        });
+        // Known groups are not read anew because of a server that is in none.
+        let is_in_group = |server: &ServerRecord| {
+            groups.iter().flat_map(|group| &group.ranks).any(|rank| is_same_incarnation(rank, server))
         };
-        if groups.is_empty() || known_ranks != servers.len() || !groups.iter().all(is_unchanged) {
-            *groups = discover(gateway, engines, &servers, engine, history).await;
+        let others: Vec<_> = servers.into_iter().filter(|server| !is_in_group(server)).collect();
+        if !others.is_empty() {
+            groups.extend(discover(gateway, engines, &others, engine, history).await);
         }
         let mut kept = Vec::new();
         for mut group in groups.drain(..) {
--- a/crates/fuchsiabay-gateway/tests/server_statements.rs
+++ b/crates/fuchsiabay-gateway/tests/server_statements.rs
@@ -10,11 +10,11 @@
     time::{Duration, Instant},
 };
 
-use fuchsiabay_base::{InstanceId, ServiceName};
+use fuchsiabay_base::InstanceId;
 use smol::Timer;
 use support::{
     Behaviour, Caller, Harness, Response,
-    harness::{config, engine, record},
+    harness::{engine_config, record},
 };
 
 /// The time within which a request is refused once it is known that no server will accept it. It includes the 150 ms after which
@@ -97,9 +97,7 @@
 fn server_that_leaves_in_a_health_check_gets_nothing_more() {
     smol::block_on(async {
         let harness = &Harness::start_instances(1, &[&[OK], &[OK]]).await[0];
-        let mut with_engine = config(2);
-        with_engine.services = [(ServiceName::new("s"), Some(engine()))].into();
-        *harness.platform.config.lock().unwrap() = Some(with_engine);
+        *harness.platform.config.lock().unwrap() = Some(engine_config(2, 0));
         harness.platform.leaving_engines.lock().unwrap().push(InstanceId::new("i-0"));
         // Health checks begin when the configuration is in force, and are made once a second.
         Timer::after(Duration::from_millis(2_500)).await;
--- a/crates/fuchsiabay-gateway/tests/support/harness.rs
+++ b/crates/fuchsiabay-gateway/tests/support/harness.rs
@@ -92,9 +92,9 @@
     }
 }
 
-/// Returns the profile of an engine without experts.
-pub fn engine() -> EngineProfile {
-    EngineProfile {
+/// Returns a configuration whose servers are engines with `sets` sets of one expert.
+pub fn engine_config(version: u64, sets: u16) -> ServingConfig {
+    let engine = EngineProfile {
         slots: 4,
         kv_capacity: 1_000,
         stride: 1,
@@ -104,12 +104,13 @@
         prefill_per_s: 0.0,
         mean_prompt_tokens: 1.0,
         mean_response_tokens: 1.0,
-        sets: 0,
-        experts: 0,
-        max_experts_per_rank: 0,
-        max_added_per_rank: 0,
-        copy_ms: 0.0,
-    }
+        sets,
+        experts: 1,
+        max_experts_per_rank: 1,
+        max_added_per_rank: 1,
+        copy_ms: 1.0,
+    };
+    ServingConfig { services: [(ServiceName::new("s"), Some(engine))].into(), ..config(version) }
 }
 
 pub fn record(id: usize, server: &FakeServer) -> ServerRecord {
@@ -128,13 +129,22 @@
 impl Harness {
     /// Starts a gateway in front of `count` servers that share `script`, and waits until it is ready.
     pub async fn start(count: usize, script: &[Behaviour]) -> Self {
+        Self::start_on(FakePlatform::default(), config(1), count, script).await
+    }
+
+    /// Starts a gateway as [`Self::start`] does, on `platform` with `config`.
+    pub async fn start_on(
+        platform: FakePlatform,
+        config: ServingConfig,
+        count: usize,
+        script: &[Behaviour],
+    ) -> Self {
         let script: Script = Arc::new(Mutex::new(script.iter().cloned().collect()));
         let mut servers = Vec::new();
         for _ in 0..count {
             servers.push(FakeServer::start(script.clone()).await);
         }
-        let platform = FakePlatform::default();
-        *platform.config.lock().unwrap() = Some(config(1));
+        *platform.config.lock().unwrap() = Some(config);
         let records = servers.iter().enumerate().map(|(i, server)| record(i, server)).collect();
         *platform.servers.lock().unwrap() = records;
         let harness = Self::start_with(platform, servers, &[]).await;
--- a/crates/fuchsiabay-gateway/tests/support/platform.rs
+++ b/crates/fuchsiabay-gateway/tests/support/platform.rs
@@ -15,7 +15,9 @@
     ConfigSource, ConfigUpdate, EngineControl, EngineError, EngineReport, MembershipSource, MembershipView,
     Platform, RankExperts, ServerSource, ServerUpdate, SourceError,
 };
-use fuchsiabay_lockstep::{DemandDelta, LeaseTerm, Order, OrderReply, RankState};
+use fuchsiabay_lockstep::{
+    DemandCounter, DemandCounts, DemandDelta, LeaseTerm, Order, OrderReply, RankState,
+};
 use smol::Timer;
 
 /// The delay of each read of the configuration.
@@ -33,8 +35,14 @@
     pub position: Arc<AtomicU64>,
     /// How often the store has returned from a copy.
     pub epoch: Arc<AtomicU64>,
+    /// Whether the instances hold the coordinator lease.
+    pub is_coordinator: bool,
     /// The servers whose engines report that they are leaving.
     pub leaving_engines: Arc<Mutex<Vec<InstanceId>>>,
+    /// The servers whose engines are in no group.
+    pub single_engines: Arc<Mutex<Vec<InstanceId>>>,
+    /// The number of reads of the experts of an engine.
+    pub expert_reads: Arc<AtomicUsize>,
     /// The number of reads of the configuration and the directory.
     pub reads: Arc<AtomicUsize>,
 }
@@ -82,7 +90,7 @@
         let members = self.platform.members.lock().unwrap().clone();
         Ok(MembershipView {
             members,
-            is_coordinator: false,
+            is_coordinator: self.platform.is_coordinator,
             term: LeaseTerm { store_epoch: 1, generation: 1 },
         })
     }
@@ -90,7 +98,7 @@
     async fn leave(&mut self) {}
 }
 
-/// Engines that are groups of one rank each and report nothing else.
+/// Engines that are groups of one rank each, without any demand.
 pub struct FakeEngines {
     platform: FakePlatform,
 }
@@ -114,15 +122,17 @@
             held: None,
         };
         let is_leaving = self.platform.leaving_engines.lock().unwrap().contains(&server.id);
-        Ok(EngineReport { rank: Some((server.id.to_string(), state)), is_leaving })
+        let is_single = self.platform.single_engines.lock().unwrap().contains(&server.id);
+        Ok(EngineReport { rank: (!is_single).then(|| (server.id.to_string(), state)), is_leaving })
     }
 
-    async fn demand(&self, server: &ServerRecord) -> Result<DemandDelta, EngineError> {
-        Err(EngineError { server: server.id.to_string(), reason: "no engine".to_owned() })
+    async fn demand(&self, _: &ServerRecord) -> Result<DemandDelta, EngineError> {
+        Ok(DemandCounter::default().advance(DemandCounts { epoch: 1, step: 0, counts: vec![0] }))
     }
 
-    async fn rank_experts(&self, server: &ServerRecord) -> Result<RankExperts, EngineError> {
-        Err(EngineError { server: server.id.to_string(), reason: "no engine".to_owned() })
+    async fn rank_experts(&self, _: &ServerRecord) -> Result<RankExperts, EngineError> {
+        self.platform.expert_reads.fetch_add(1, Ordering::Relaxed);
+        Ok(RankExperts { epoch: 1, map_version: 0, experts: vec![vec![0]] })
     }
 
     async fn send_order(&self, _: &ServerRecord, _: &ServerRecord, _: u64, _: &Order) -> OrderReply {
