Choose no version twice while ranks copy its experts

A rank reports a version only when it has copied the experts. A coordinator that loses its lease meanwhile and holds it again in the same term reads no trace of the version and could choose it for another layout. Ranks that have the first one would keep it: one version, two layouts.

`OrderHistory` chooses the versions now, above those it has chosen.

--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -10,7 +10,7 @@
 use fuchsiabay_base::ServiceName;
 use fuchsiabay_lockstep::{
     ExpertLayout, LayoutLimits, LayoutPlan, LayoutPlanner, MapSwitch, OrderHistory, SwitchOutcome,
-    SwitchTiming, next_version,
+    SwitchTiming,
 };
 use fuchsiabay_runtime::monotonic_now;
 use futures_lite::future;
@@ -200,7 +200,8 @@
     if !plan.is_worthwhile(step_share, has_cooled_down) {
         return true;
     }
-    group.map_version = next_version(group.map_version, gateway.coordinator_lease().term());
+    group.map_version =
+        history.choose_version(&group.name, group.map_version, gateway.coordinator_lease().term());
     let started_at = monotonic_now();
     let end = run_switch(gateway, engines, group, engine, &plan, history).await;
     let ms = monotonic_now().millis_since(started_at);
--- a/crates/fuchsiabay-lockstep/src/order_history.rs
+++ b/crates/fuchsiabay-lockstep/src/order_history.rs
@@ -4,9 +4,9 @@
 
 use fuchsiabay_base::{Timestamp, is_mechanism_enabled};
 
-use crate::rank_state::REPORT_LAG_MS;
+use crate::{LeaseTerm, rank_state::REPORT_LAG_MS, switch::next_version};
 
-/// When this instance last sent orders to each group.
+/// What this instance has ordered each group to do, and when.
 ///
 /// The ranks report their states some time after the fact, each with another delay. States from right after an order do not
 /// show at which ranks it has taken effect: a switch whose ranks are all armed looks like one that was left unfinished.
@@ -16,19 +16,21 @@
 }
 
 /// The orders to one group.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Default)]
 struct GroupOrders {
-    /// The epoch that the orders name. They have no effect in another one.
+    /// The epoch that the last orders name. They have no effect in another one.
     epoch: u64,
     /// The time from which on the reported states show the effects of the orders.
     reported_from: Timestamp,
+    /// The last version that was chosen for a layout.
+    version: u64,
 }
 
 impl OrderHistory {
     /// Records that orders for `epoch` of `group` were sent until `at`.
     pub fn record(&mut self, group: &str, epoch: u64, at: Timestamp) {
-        let orders = GroupOrders { epoch, reported_from: at.plus_millis(REPORT_LAG_MS) };
-        self.groups.insert(group.to_owned(), orders);
+        let orders = self.groups.entry(group.to_owned()).or_default();
+        (orders.epoch, orders.reported_from) = (epoch, at.plus_millis(REPORT_LAG_MS));
     }
 
     /// Returns whether states of `epoch` of `group` that are read at `at` show the effects of all orders.
@@ -36,4 +38,12 @@
         let orders = self.groups.get(group).filter(|orders| orders.epoch == epoch);
         !is_mechanism_enabled("wait-for-reports") || orders.is_none_or(|orders| orders.reported_from <= at)
     }
+
+    /// Chooses the version of the next layout of `group` in `term`. It is above `reported`, the highest version that a rank
+    /// reports, and above those chosen before, which a rank does not report before it has copied its experts.
+    pub fn choose_version(&mut self, group: &str, reported: u64, term: LeaseTerm) -> u64 {
+        let orders = self.groups.entry(group.to_owned()).or_default();
+        orders.version = next_version(reported.max(orders.version), term);
+        orders.version
+    }
 }
--- a/crates/fuchsiabay-prove/src/lockstep_world.rs
+++ b/crates/fuchsiabay-prove/src/lockstep_world.rs
@@ -5,7 +5,7 @@
 use fuchsiabay_base::{Timestamp, is_mechanism_enabled};
 use fuchsiabay_lockstep::{
     ExpertLayout, LeaseTerm, MapSwitch, Order, OrderHistory, OrderReply, Recovery, SwitchOutcome,
-    SwitchTiming, Takeover, next_version,
+    SwitchTiming, Takeover,
 };
 
 use crate::{
@@ -225,7 +225,8 @@
             return None;
         }
         let highest = states.iter().map(|state| state.map_version.max(state.prepared.unwrap_or(0))).max();
-        let version = next_version(highest.unwrap_or(0), LeaseTerm { store_epoch: 0, generation: term });
+        let term = LeaseTerm { store_epoch: 0, generation: term };
+        let version = history.choose_version(GROUP, highest.unwrap_or(0), term);
         let content = vec![self.rng.u16(..)];
         let layout = Arc::new(ExpertLayout { sets: vec![vec![content; RANKS]] });
         let timing = SwitchTiming {
