Use one model of a group for the switches and the randomised runs

The model of ranks, orders and reports stood twice: in a test of the lockstep crate and in the randomised runs.

--- a/crates/fuchsiabay-prove/src/lib.rs
+++ b/crates/fuchsiabay-prove/src/lib.rs
@@ -48,6 +48,7 @@
 mod stream_world;
 mod trace;
 
+pub use lockstep_group::LockstepGroup;
 pub use mechanism::{MECHANISMS, Mechanism};
 pub use options::{Options, options};
 pub use outcome::Outcome;
--- a/crates/fuchsiabay-prove/src/lockstep_group.rs
+++ b/crates/fuchsiabay-prove/src/lockstep_group.rs
@@ -41,10 +41,12 @@
 
 /// The group and the orders in transit to it.
 #[derive(Debug)]
-pub(crate) struct LockstepGroup {
+pub struct LockstepGroup {
     ranks: Vec<Rank>,
-    pub(crate) epoch: u64,
-    pub(crate) step: u64,
+    /// The epoch, which increases each time the group is formed again.
+    pub epoch: u64,
+    /// The last step that has begun.
+    pub step: u64,
     next_step_ms: u64,
     delayed_orders: Vec<DelayedOrder>,
     /// The states that the ranks report, and when each rank reports its state anew, in milliseconds.
@@ -53,7 +55,11 @@
 }
 
 impl LockstepGroup {
-    pub(crate) fn new(seed: u64) -> Self {
+    /// The number of ranks.
+    pub const RANKS: usize = RANKS;
+
+    /// Forms a group with the initial map. `seed` determines when the ranks report their states.
+    pub fn new(seed: u64) -> Self {
         let ranks = vec![Rank::default(); RANKS];
         let reports = ranks.iter().enumerate().map(|(i, rank)| (rank.state(i, 1, 0), 0)).collect();
         Self {
@@ -68,19 +74,19 @@
     }
 
     /// Forms the group again under a new epoch, with no map prepared or armed and no step held.
-    pub(crate) fn regroup(&mut self, now_ms: u64) {
+    pub fn regroup(&mut self, now_ms: u64) {
         self.epoch += 1;
         self.ranks = vec![Rank::default(); RANKS];
         self.next_step_ms = now_ms + STEP_MS;
     }
 
     /// Schedules an order to be executed at `at_ms`, without a reply.
-    pub(crate) fn execute_later(&mut self, at_ms: u64, rank: usize, epoch: u64, order: &Order) {
+    pub fn execute_later(&mut self, at_ms: u64, rank: usize, epoch: u64, order: &Order) {
         self.delayed_orders.push(DelayedOrder { at_ms, rank, epoch, order: order.clone() });
     }
 
     /// Executes an order. An order for another epoch is rejected as a conflict.
-    pub(crate) fn execute(&mut self, rank: usize, epoch: u64, order: &Order, now_ms: u64) -> OrderReply {
+    pub fn execute(&mut self, rank: usize, epoch: u64, order: &Order, now_ms: u64) -> OrderReply {
         if epoch != self.epoch {
             return OrderReply::Conflict;
         }
@@ -89,7 +95,7 @@
 
     /// Advances the group to `now_ms`. Returns an error with the ranks' map versions if a step began while their maps
     /// differed.
-    pub(crate) fn advance(&mut self, now_ms: u64) -> Result<(), String> {
+    pub fn advance(&mut self, now_ms: u64) -> Result<(), String> {
         let (due, later) =
             std::mem::take(&mut self.delayed_orders).into_iter().partition(|order| order.at_ms <= now_ms);
         self.delayed_orders = later;
@@ -125,7 +131,7 @@
     }
 
     /// Returns the state that a rank reports, which may be outdated.
-    pub(crate) fn reported_state(&self, i: usize) -> RankState {
+    pub fn reported_state(&self, i: usize) -> RankState {
         self.reports[i].0.clone()
     }
 }
