--- a/crates/fuchsiabay-prove/tests/lockstep_switches.rs
+++ b/crates/fuchsiabay-prove/tests/lockstep_switches.rs
@@ -1,7 +1,7 @@
 //! Switches under lost and delayed orders and coordinator crashes, on virtual time.
 //!
-//! The model follows the contract of the engines: an order may be executed without a reply, immediately or seconds later,
-//! and nothing checks which coordinator sent it.
+//! The group follows the contract of the engines: an order may be executed without a reply, immediately or seconds later, nothing
+//! checks which coordinator sent it, and each rank reports its state late.
 
 use std::sync::Arc;
 
@@ -25,13 +25,13 @@
 const TAKEOVER_MS: u64 = 2_100;
 /// The share of completed switches after which the coordinator reads the group anew, as it does when a server joins, in percent.
 const REDISCOVERY_PERCENT: u32 = 12;
-/// A group, and the loss of orders to it.
+
+/// A group, the orders that the coordinator has sent to it, and their loss.
 struct Orders {
     group: LockstepGroup,
     rng: Rng,
     /// The share of orders that get no reply, in percent.
     lost_percent: u32,
-    /// What the coordinator has sent.
     history: OrderHistory,
 }
 
