--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -1113,6 +1113,44 @@
     }
 }
 
+/// Sends a request with a body of `len` bytes at 1 MB a second.
+pub fn upload(addr: SocketAddr, len: usize) -> Reply {
+    const PIECE: usize = 32 * 1024;
+    let id = format!("{:016x}", NEXT_ID.fetch_add(1, Ordering::Relaxed) * 0x9e37_79b9 + 7);
+    let mut reply =
+        Reply { id: id.clone(), status: 0, is_complete: false, body: Vec::new(), stamp: String::new(), keeps: false };
+    let Ok(mut socket) = TcpStream::connect_timeout(&addr, Duration::from_secs(1)) else { return reply };
+    let _ = socket.set_read_timeout(Some(Duration::from_secs(20)));
+    let head = format!(
+        "POST /app/upload HTTP/1.1\r\nHost: app.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 20000\r\nContent-Length: {len}\r\n\r\n"
+    );
+    if socket.write_all(head.as_bytes()).is_err() {
+        return reply;
+    }
+    let (began, piece) = (Instant::now(), vec![b'x'; PIECE]);
+    let mut sent = 0;
+    while sent < len {
+        let due = Duration::from_secs_f64(sent as f64 / 1_000_000.0);
+        thread::sleep(due.saturating_sub(began.elapsed()));
+        let next = PIECE.min(len - sent);
+        if socket.write_all(&piece[..next]).is_err() {
+            return reply;
+        }
+        sent += next;
+    }
+    let mut buf = Vec::new();
+    let Some((first, headers)) = read_head(&mut socket, &mut buf) else { return reply };
+    reply.status = first.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+    let len: usize = header(&headers, "content-length").parse().unwrap_or(0);
+    while buf.len() < len {
+        if fill(&mut socket, &mut buf).unwrap_or(0) == 0 {
+            return reply;
+        }
+    }
+    reply.is_complete = true;
+    reply
+}
+
 fn decode_chunks(buf: &[u8]) -> Option<(Vec<u8>, usize)> {
     let (mut at, mut out) = (0, Vec::new());
     loop {
