Refuse requests late in a planned stop unless they end before it

Cause: every request was accepted until 3.3 s after the signal, whatever its deadline. The rule excuses broken streams only if they were sent within 3.0 s. The moment was compared with the arrival of the request's head, so a request whose body came slowly was accepted even later.

Now every request is accepted until 2.8 s after the signal, which leaves 0.2 s for the handling of the signal. The same rule decides for requests that wait: those that end before the stop in any case are no longer refused in its last 2 s. The process still runs for 3.3 s at least, so that new connections get a response.

--- a/crates/fuchsiabay-gateway/src/daemon.rs
+++ b/crates/fuchsiabay-gateway/src/daemon.rs
@@ -16,10 +16,14 @@
     signals::{SignalAction, SignalListener},
 };
 
-/// Time after the stop signal for which new requests are still served, in milliseconds. The load balancer in front
-/// checks readiness once a second and stops sending connections after two failed checks. Later requests are refused,
-/// because they may not finish in time.
-const ACCEPT_AFTER_STOP_MS: u64 = 3_300;
+/// Time after the stop signal for which every new request is served, in milliseconds. A request that is sent later than 3 s after
+/// the signal must not be broken off at the stop, and the signal may be handled some 100 ms late. Later requests are served only
+/// if they end before the stop.
+const ACCEPT_AFTER_STOP_MS: u64 = 2_800;
+
+/// Minimum time from the stop signal to the exit, in milliseconds. The load balancer in front checks readiness once a second and
+/// stops sending connections after two failed checks.
+const MIN_STOP_MS: u64 = 3_300;
 
 /// Safety margin before the end of the stop timeout, in milliseconds.
 const STOP_MARGIN_MS: u64 = 400;
@@ -136,7 +140,7 @@
         );
     }
 
-    /// Drains the gateway: finishes accepted requests and refuses later ones. Returns when no request is running or the stop
+    /// Drains the gateway: finishes accepted requests and refuses later ones that may not finish. Returns when no request is running or the stop
     /// timeout is about to expire. Requests that still run then get a final response.
     pub async fn stop(self) {
         let now = monotonic_now();
@@ -144,7 +148,7 @@
         let refuse_at = now.plus_millis(ACCEPT_AFTER_STOP_MS).min(stop_at);
         self.gateway.drain().start(refuse_at, stop_at);
         log::info!(running = self.gateway.running_requests(); "gateway: stopping");
-        wait_until_finished(&self.gateway, refuse_at, stop_at).await;
+        wait_until_finished(&self.gateway, now.plus_millis(MIN_STOP_MS), stop_at).await;
         self.gateway.drain().end();
         wait_until_finished(&self.gateway, stop_at, stop_at.plus_millis(LAST_RESPONSES_MS)).await;
         self.accept.cancel().await;
--- a/crates/fuchsiabay-gateway/src/drain.rs
+++ b/crates/fuchsiabay-gateway/src/drain.rs
@@ -1,4 +1,4 @@
-//! Graceful shutdown: refuses new requests while accepted ones finish.
+//! Graceful shutdown: refuses new requests that may not finish, while accepted ones do.
 
 use std::sync::OnceLock;
 
@@ -12,12 +12,19 @@
 /// When a shutdown refuses requests.
 #[derive(Clone, Copy, Debug)]
 struct Schedule {
-    /// When new requests are refused.
+    /// From when on new requests are refused unless they end before the stop.
     refuse_at: Timestamp,
     /// When the requests that still run are ended.
     stop_at: Timestamp,
 }
 
+impl Schedule {
+    /// Returns whether a request with this deadline has ended at the stop, whatever its server does.
+    fn covers(&self, deadline: Timestamp) -> bool {
+        deadline <= self.stop_at
+    }
+}
+
 /// Notifies the tasks of a shutdown.
 #[derive(Debug)]
 pub(crate) struct Drain {
@@ -34,7 +41,8 @@
 }
 
 impl Drain {
-    /// Starts the drain. New requests are refused from `refuse_at` on, and those that still run are ended at `stop_at`.
+    /// Starts the drain. New requests are refused from `refuse_at` on if they may last beyond `stop_at`, at which those that still
+    /// run are ended.
     pub(crate) fn start(&self, refuse_at: Timestamp, stop_at: Timestamp) {
         self.schedule.get_or_init(|| Schedule { refuse_at, stop_at });
         self.started.set();
@@ -49,14 +57,17 @@
         self.schedule.get().is_some()
     }
 
-    /// Returns whether a request that arrives at `now` is refused.
-    pub(crate) fn refuses(&self, now: Timestamp) -> bool {
-        self.schedule.get().is_some_and(|schedule| schedule.refuse_at <= now)
+    /// Returns whether a request that was completely read at `now` is refused.
+    pub(crate) fn refuses(&self, now: Timestamp, deadline: Timestamp) -> bool {
+        self.schedule.get().is_some_and(|schedule| schedule.refuse_at <= now && !schedule.covers(deadline))
     }
 
-    /// Returns whether a request that was accepted may be sent to a server, because it probably finishes before the stop.
-    pub(crate) fn may_send(&self, now: Timestamp) -> bool {
-        self.schedule.get().is_none_or(|schedule| now.plus_millis(MIN_RUN_MS) <= schedule.stop_at)
+    /// Returns whether a request that was accepted may be sent to a server, because it ends before the stop, at least probably.
+    pub(crate) fn may_send(&self, now: Timestamp, deadline: Timestamp) -> bool {
+        let may_send = |schedule: &Schedule| {
+            schedule.covers(deadline) || now.plus_millis(MIN_RUN_MS) <= schedule.stop_at
+        };
+        self.schedule.get().is_none_or(may_send)
     }
 
     /// Waits until the drain starts.
--- a/crates/fuchsiabay-gateway/src/request/forwarder/mod.rs
+++ b/crates/fuchsiabay-gateway/src/request/forwarder/mod.rs
@@ -174,7 +174,7 @@
 
     /// Returns whether the request probably finishes before this instance stops. A stream that has begun is resumed regardless.
     fn may_finish(&self, now: Timestamp) -> bool {
-        self.is_resumption || self.request.gateway.drain().may_send(now)
+        self.is_resumption || self.request.gateway.drain().may_send(now, self.request.deadline)
     }
 
     /// Refuses the request if it would probably not finish, or is known to crash servers.
--- a/crates/fuchsiabay-gateway/src/request/routed_request.rs
+++ b/crates/fuchsiabay-gateway/src/request/routed_request.rs
@@ -57,9 +57,6 @@
         body: &[u8],
         arrived: Timestamp,
     ) -> Result<Self, LocalResponse> {
-        if gateway.drain().refuses(arrived) {
-            return Err(LocalResponse::unavailable("stopping", STOPPING_RETRY_MS));
-        }
         let Some(config) = gateway.config() else {
             return Err(LocalResponse::unavailable("no_configuration", NOT_READY_RETRY_MS));
         };
@@ -77,6 +74,9 @@
         let shard = gateway.shard(service);
         let stated_ms = stated_deadline_ms(gateway, head).unwrap_or(route.timeout_ms);
         let deadline = arrived.plus_millis(stated_ms.min(route.timeout_ms));
+        if gateway.drain().refuses(monotonic_now(), deadline) {
+            return Err(LocalResponse::unavailable("stopping", STOPPING_RETRY_MS));
+        }
         let spent_ms = gateway.longest_deadlines().elapsed_since_first_attempt_ms(&route.name, stated_ms);
         let name = workspace.as_ref().map_or("", |workspace| workspace.name.as_str());
         let whole = [name.as_bytes(), head.method.as_bytes(), head.target.as_bytes(), body];
--- a/crates/fuchsiabay-gateway/tests/lifecycle.rs
+++ b/crates/fuchsiabay-gateway/tests/lifecycle.rs
@@ -176,6 +176,49 @@
     });
 }
 
+/// Starts a planned stop, sends a request to `path` some time after it, and checks the status of the response and whether a server
+/// received the request. The routes of streams allow 8 s, and the server responds after 900 ms.
+fn check_late_request(path: &str, after_ms: u64, status: u16, is_sent: bool) {
+    smol::block_on(async {
+        let mut config = support::harness::config(1);
+        for route in config.routes.iter_mut().filter(|route| route.kind.is_stream()) {
+            route.timeout_ms = 8_000;
+        }
+        let harness = Harness::start_on(FakePlatform::default(), config, 1, &[Behaviour::Slow(900)]).await;
+        let (addr, servers) = (harness.gateway.listen_addr(), harness.servers.clone());
+        let stop = smol::spawn(harness.gateway.stop());
+        // Keeps the gateway running.
+        let mut running = Vec::new();
+        for wait_ms in [2_500, 500] {
+            Timer::after(Duration::from_millis(wait_ms)).await;
+            let mut caller = support::Caller::connect(addr).await;
+            caller.send(REQUEST).await;
+            running.push(caller);
+        }
+        Timer::after(Duration::from_millis(after_ms - 3_000)).await;
+        let request = String::from_utf8_lossy(REQUEST).replace("/safe/", path);
+        let mut caller = support::Caller::connect(addr).await;
+        let response = caller.round_trip(request.as_bytes()).await.expect("every request gets a response");
+        assert_eq!(response.status, status);
+        assert_eq!(servers[0].received().len(), 2 + usize::from(is_sent));
+        stop.await;
+    });
+}
+
+macro_rules! late_request_cases {
+    ($($(#[$doc:meta])* $name:ident($($arg:expr),*);)*) => {
+        $($(#[$doc])* #[test] fn $name() { check_late_request($($arg),*); })*
+    };
+}
+
+late_request_cases! {
+    /// Guards against a stream that is accepted more than 3 s after the stop signal and is broken off at the stop.
+    stream_that_may_outlast_a_planned_stop_is_refused("/once/", 3_100, 503, false);
+    resumable_stream_that_may_outlast_a_planned_stop_is_refused("/stream/", 3_100, 503, false);
+    /// Guards against refusing late requests that end before the stop in any case.
+    request_that_ends_before_a_planned_stop_is_served("/safe/", 3_400, 200, true);
+}
+
 /// Guards against missing state or metrics on the ops port.
 #[test]
 fn state_and_metrics_are_served() {
