--- a/crates/fuchsiabay-base/src/ablation.rs
+++ b/crates/fuchsiabay-base/src/ablation.rs
@@ -7,7 +7,7 @@
 
 #[cfg(feature = "ablation")]
 thread_local! {
-    static DISABLED: Cell<Option<&'static str>> = const { Cell::new(None) };
+    static DISABLED: Cell<[Option<&'static str>; 2]> = const { Cell::new([None; 2]) };
 }
 
 /// Returns whether the mechanism `name` is enabled. Always true without the `ablation` feature.
@@ -20,11 +20,11 @@
 /// Returns whether the mechanism `name` is enabled.
 #[cfg(feature = "ablation")]
 pub fn is_mechanism_enabled(name: &'static str) -> bool {
-    DISABLED.get() != Some(name)
+    !DISABLED.get().contains(&Some(name))
 }
 
-/// Disables the mechanism `name` on this thread and enables all others. `None` enables all.
+/// Disables the mechanisms of these names on this thread and enables all others.
 #[cfg(feature = "ablation")]
-pub fn disable_mechanism(name: Option<&'static str>) {
-    DISABLED.set(name);
+pub fn disable_mechanisms(names: [Option<&'static str>; 2]) {
+    DISABLED.set(names);
 }
--- a/crates/fuchsiabay-base/src/lib.rs
+++ b/crates/fuchsiabay-base/src/lib.rs
@@ -12,7 +12,7 @@
 mod verdict;
 
 #[cfg(feature = "ablation")]
-pub use ablation::disable_mechanism;
+pub use ablation::disable_mechanisms;
 pub use ablation::is_mechanism_enabled;
 pub use fingerprint::Fingerprint;
 pub use idempotency_key::{IdempotencyKey, InvalidKey};
--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -9,8 +9,8 @@
 use fuchsiabay_balancer::{EngineProfile, ServerRecord};
 use fuchsiabay_base::ServiceName;
 use fuchsiabay_lockstep::{
-    ExpertLayout, LayoutLimits, LayoutPlan, LayoutPlanner, MapSwitch, OrderHistory, SwitchOutcome,
-    SwitchTiming,
+    ExpertLayout, LayoutLimits, LayoutPlan, LayoutPlanner, MapSwitch, OrderHistory, RankState, Recovery,
+    SwitchOutcome, SwitchTiming,
 };
 use fuchsiabay_runtime::monotonic_now;
 use futures_lite::future;
@@ -21,6 +21,7 @@
     discovery::discover,
     group::Group,
     orders::{call_each, read_states, send_all},
+    recovery::recover,
 };
 use crate::gateway::Gateway;
 
@@ -254,7 +255,8 @@
         lead_steps: group.steps_within(SWITCH_LEAD_MS + READS_IN_LEAD * group.read_ms()) + EXTRA_LEAD_STEPS,
     };
     let layout = Arc::new(plan.layout.clone());
-    let mut switch = MapSwitch::new(group.map_version, layout, group.step, timing);
+    let last_step = group.step.max(history.last_held_step(&group.name, group.epoch));
+    let mut switch = MapSwitch::new(group.map_version, layout, last_step, timing);
     loop {
         let now = monotonic_now();
         switch.record_step(group.estimated_step(now));
@@ -264,12 +266,16 @@
         }
         let orders = switch.poll(now);
         if let Some(end) = switch.outcome() {
+            if let Some(recovery) = switch.recovery() {
+                recover(gateway, engines, &group.to_recover(), &recovery, history).await;
+            }
             return end;
         }
         if orders.is_empty() {
             Timer::after(SWITCH_POLL_INTERVAL).await;
         } else {
             let lease = gateway.coordinator_lease();
+            history.record_holds(&group.name, orders.iter().map(|(_, order)| order));
             let replies = send_all(lease, engines, &group.ranks, group.epoch, orders).await;
             let now = monotonic_now();
             history.record(&group.name, group.epoch, now);
--- a/crates/fuchsiabay-gateway/src/groups/discovery.rs
+++ b/crates/fuchsiabay-gateway/src/groups/discovery.rs
@@ -9,11 +9,12 @@
 use super::{
     EngineControl,
     group::Group,
-    orders::{call_each, read_states, send_all},
+    orders::{call_each, read_states},
+    recovery::{RecoveredGroup, recover},
 };
 use crate::gateway::Gateway;
 
-/// Finds the open groups among `servers`, completes or rolls back unfinished switches, and reads the layouts. Groups whose
+/// Finds the open groups among `servers`, revokes unfinished switches, and reads the layouts. Groups whose
 /// states may lack the effects of orders in `history` are left out.
 pub(super) async fn discover<E: EngineControl>(
     gateway: &Gateway,
@@ -44,11 +45,20 @@
         if !gateway.coordinator_lease().is_exclusive() && !is_initial {
             continue;
         }
-        if !recover(gateway, engines, &name, &ranks).await {
-            history.record(&name, epoch, monotonic_now());
+        let Some(layout) = read_layout(engines, &ranks).await else {
+            continue;
+        };
+        let states: Vec<RankState> = ranks.iter().map(|(_, state)| state.clone()).collect();
+        if let Some(recovery) = Recovery::from_states(&states, None) {
+            let servers: Vec<_> = ranks.iter().map(|(server, _)| server.clone()).collect();
+            let map_version = states.iter().map(RankState::highest_version).max().unwrap_or(0);
+            let group =
+                RecoveredGroup { name: &name, epoch, ranks: &servers, layout: layout.as_ref(), map_version };
+            recover(gateway, engines, &group, &recovery, history).await;
             continue;
         }
-        let Some(layout) = read_layout(engines, &ranks).await else {
+        let Some(layout) = layout else {
+            log::warn!(group = name.as_str(), epoch; "group: the ranks have different layouts");
             continue;
         };
         log::info!(group = name.as_str(), epoch, map = ranks[0].1.map_version, ranks = ranks.len(); "group: found");
@@ -70,32 +80,11 @@
         })
 }
 
-/// Sends the orders that resolve an unfinished switch, which left ranks held or armed. Returns whether none were needed.
-async fn recover<E: EngineControl>(
-    gateway: &Gateway,
-    engines: &Arc<E>,
-    name: &str,
-    ranks: &[(Arc<ServerRecord>, RankState)],
-) -> bool {
-    let states: Vec<RankState> = ranks.iter().map(|(_, state)| state.clone()).collect();
-    let Recovery::Orders(orders) = Recovery::from_states(&states) else {
-        return true;
-    };
-    if !gateway.coordinator_lease().is_held() {
-        return false;
-    }
-    for (rank, order) in &orders {
-        log::warn!(group = name, rank = *rank, order = order.as_str(); "group: resolving an unfinished switch");
-    }
-    let servers: Vec<_> = ranks.iter().map(|(server, _)| server.clone()).collect();
-    send_all(gateway.coordinator_lease(), engines, &servers, states[0].epoch, orders).await;
-    false
-}
-
+/// Reads the layout in use. The inner value is None if the ranks have different ones, the outer one if a rank did not respond.
 async fn read_layout<E: EngineControl>(
     engines: &Arc<E>,
     ranks: &[(Arc<ServerRecord>, RankState)],
-) -> Option<ExpertLayout> {
+) -> Option<Option<ExpertLayout>> {
     let servers: Vec<_> = ranks.iter().map(|(server, _)| server.clone()).collect();
     let results = call_each(servers, |server| {
         let engines = engines.clone();
@@ -110,11 +99,12 @@
         }
     }
     let first = by_rank.first()?;
-    let has_single_map =
-        by_rank.iter().all(|rank| rank.epoch == first.epoch && rank.map_version == first.map_version);
-    if by_rank.len() != ranks.len() || !has_single_map {
+    if by_rank.len() != ranks.len() || by_rank.iter().any(|rank| rank.epoch != first.epoch) {
         return None;
     }
+    if by_rank.iter().any(|rank| rank.map_version != first.map_version) {
+        return Some(None);
+    }
     let experts: Vec<Vec<Vec<u16>>> = by_rank.into_iter().map(|rank| rank.experts).collect();
-    Some(ExpertLayout::from_ranks(&experts))
+    Some(Some(ExpertLayout::from_ranks(&experts)))
 }
--- a/crates/fuchsiabay-gateway/src/groups/group.rs
+++ b/crates/fuchsiabay-gateway/src/groups/group.rs
@@ -6,6 +6,8 @@
 use fuchsiabay_base::{InstanceId, Timestamp};
 use fuchsiabay_lockstep::{ExpertDemand, ExpertLayout, PauseBudget, RankState};
 
+use super::recovery::RecoveredGroup;
+
 /// Divisor for the minimum number of ranks whose demand is read: one in this many. Querying a rank from another instance
 /// pauses the whole group.
 const SAMPLED_DIVISOR: usize = 4;
@@ -64,12 +66,13 @@
         engine: &EngineProfile,
         now: Timestamp,
     ) -> Self {
-        let versions = ranks.iter().map(|(_, state)| state.map_version.max(state.prepared.unwrap_or(0)));
+        let map_version = ranks.iter().map(|(_, state)| state.highest_version()).max().unwrap_or(0);
+        let step = ranks.iter().map(|(_, state)| state.step).max().unwrap_or(0);
         Self {
             name,
             epoch: ranks.first().map_or(0, |(_, state)| state.epoch),
-            map_version: versions.max().unwrap_or(0),
-            step: ranks.iter().map(|(_, state)| state.step).max().unwrap_or(0),
+            map_version,
+            step,
             slowdowns: ranks.iter().map(|(_, state)| state.slowdown).collect(),
             ranks: ranks.into_iter().map(|(server, _)| server).collect(),
             layout,
@@ -143,6 +146,17 @@
         }
     }
 
+    /// Returns the parts that a recovery of the group needs.
+    pub(super) fn to_recover(&self) -> RecoveredGroup<'_> {
+        RecoveredGroup {
+            name: &self.name,
+            epoch: self.epoch,
+            ranks: &self.ranks,
+            layout: Some(&self.layout),
+            map_version: self.map_version,
+        }
+    }
+
     /// Returns the average duration of a step, in milliseconds.
     pub(super) const fn step_ms(&self) -> f64 {
         self.step_ms
--- a/crates/fuchsiabay-gateway/src/groups/mod.rs
+++ b/crates/fuchsiabay-gateway/src/groups/mod.rs
@@ -9,6 +9,7 @@
 mod group;
 mod group_check;
 mod orders;
+mod recovery;
 
 pub use engine_control::{EngineControl, EngineError, RankExperts};
 pub use engine_report::EngineReport;
--- a/crates/fuchsiabay-gateway/tests/groups.rs
+++ b/crates/fuchsiabay-gateway/tests/groups.rs
@@ -20,3 +20,35 @@
         assert_eq!(harness.platform.expert_reads.load(Ordering::Relaxed), 2);
     });
 }
+
+/// A group of one engine whose coordinator is this instance. The engine holds a step from the start, or only once its group is known.
+fn check_release(is_held_at_start: bool, orders: &[&str]) {
+    smol::block_on(async {
+        let platform = FakePlatform { is_coordinator: true, ..FakePlatform::default() };
+        let hold = || *platform.held_step.lock().unwrap() = Some(7);
+        if is_held_at_start {
+            hold();
+        }
+        let script = [Behaviour::Respond("")];
+        let harness = Harness::start_on(platform.clone(), engine_config(1, 1), 1, &script).await;
+        if !is_held_at_start {
+            Timer::after(Duration::from_millis(1_500)).await;
+            hold();
+        }
+        // Callers abandon a stream after a gap of two seconds.
+        Timer::after(Duration::from_millis(2_000)).await;
+        assert_eq!(*harness.platform.orders.lock().unwrap(), orders);
+        assert_eq!(*harness.platform.held_step.lock().unwrap(), None);
+    });
+}
+
+macro_rules! release_cases {
+    ($($(#[$doc:meta])* $name:ident: $is_held_at_start:expr, $orders:expr;)*) => {
+        $($(#[$doc])* #[test] fn $name() { check_release($is_held_at_start, &$orders); })*
+    };
+}
+
+release_cases! {
+    /// Guards against a hold of an earlier coordinator that is released while its arm orders may still be executed.
+    hold_of_an_earlier_coordinator_is_released_under_a_new_version: true, ["prepare", "release"];
+}
--- a/crates/fuchsiabay-gateway/tests/support/platform.rs
+++ b/crates/fuchsiabay-gateway/tests/support/platform.rs
@@ -41,6 +41,10 @@
     pub leaving_engines: Arc<Mutex<Vec<InstanceId>>>,
     /// The servers whose engines are in no group.
     pub single_engines: Arc<Mutex<Vec<InstanceId>>>,
+    /// The step that the engines hold, until they are ordered to release it.
+    pub held_step: Arc<Mutex<Option<u64>>>,
+    /// The names of the orders that the engines have accepted.
+    pub orders: Arc<Mutex<Vec<&'static str>>>,
     /// The number of reads of the experts of an engine.
     pub expert_reads: Arc<AtomicUsize>,
     /// The number of reads of the configuration and the directory.
@@ -119,7 +123,7 @@
             map_version: 0,
             prepared: None,
             armed: None,
-            held: None,
+            held: *self.platform.held_step.lock().unwrap(),
         };
         let is_leaving = self.platform.leaving_engines.lock().unwrap().contains(&server.id);
         let is_single = self.platform.single_engines.lock().unwrap().contains(&server.id);
@@ -139,8 +143,12 @@
         Ok(RankExperts { epoch: 1, map_version: 0, experts: vec![vec![0]] })
     }
 
-    async fn send_order(&self, _: &ServerRecord, _: &ServerRecord, _: u64, _: &Order) -> OrderReply {
-        OrderReply::Unanswered
+    async fn send_order(&self, _: &ServerRecord, _: &ServerRecord, _: u64, order: &Order) -> OrderReply {
+        self.platform.orders.lock().unwrap().push(order.as_str());
+        if let Order::Release { step } = order {
+            self.platform.held_step.lock().unwrap().take_if(|held| held == step);
+        }
+        OrderReply::Accepted
     }
 }
 
--- a/crates/fuchsiabay-lockstep/src/lib.rs
+++ b/crates/fuchsiabay-lockstep/src/lib.rs
@@ -7,8 +7,8 @@
 //! This crate must not depend on sockets, clocks or the platform. Replies and time are arguments.
 //!
 //! Invariants: the hold of a step is confirmed before any rank is armed for it; the hold is released only when every rank
-//! is armed with the same version and step, or when no rank is armed; reported states that may lack the effects of orders lead
-//! to no order; a version identifies exactly one layout.
+//! is armed with the same version and step, or when no rank is armed and none can be armed by an order that is executed late;
+//! reported states that may lack the effects of orders lead to no order; a version identifies exactly one layout.
 
 mod demand;
 mod demand_counter;
@@ -24,6 +24,7 @@
 mod rank_state;
 mod recovery;
 mod set_plan;
+mod stall_watch;
 mod switch;
 mod takeover;
 
@@ -39,6 +40,7 @@
 pub use plan::LayoutPlan;
 pub use planner::{LayoutLimits, LayoutPlanner};
 pub use rank_state::{ArmedMap, RankState};
-pub use recovery::Recovery;
+pub use recovery::{Recovery, ReplacementLayout};
+pub use stall_watch::StallWatch;
 pub use switch::{MapSwitch, SwitchOutcome, SwitchTiming, next_version};
 pub use takeover::Takeover;
--- a/crates/fuchsiabay-lockstep/src/order_history.rs
+++ b/crates/fuchsiabay-lockstep/src/order_history.rs
@@ -4,7 +4,7 @@
 
 use fuchsiabay_base::{Timestamp, is_mechanism_enabled};
 
-use crate::{LeaseTerm, rank_state::REPORT_LAG_MS, switch::next_version};
+use crate::{LeaseTerm, Order, rank_state::REPORT_LAG_MS, switch::next_version};
 
 /// What this instance has ordered each group to do, and when.
 ///
@@ -24,15 +24,35 @@
     reported_from: Timestamp,
     /// The last version that was chosen for a layout.
     version: u64,
+    /// The last step that a hold order named in this epoch.
+    held_step: u64,
 }
 
 impl OrderHistory {
     /// Records that orders for `epoch` of `group` were sent until `at`.
     pub fn record(&mut self, group: &str, epoch: u64, at: Timestamp) {
         let orders = self.groups.entry(group.to_owned()).or_default();
+        if orders.epoch != epoch {
+            orders.held_step = 0;
+        }
         (orders.epoch, orders.reported_from) = (epoch, at.plus_millis(REPORT_LAG_MS));
     }
 
+    /// Records the steps that `orders` hold. They must be recorded as sent, too.
+    pub fn record_holds<'a>(&mut self, group: &str, orders: impl Iterator<Item = &'a Order>) {
+        let held =
+            orders.filter_map(|order| if let Order::Hold { step } = order { Some(*step) } else { None });
+        let orders = self.groups.entry(group.to_owned()).or_default();
+        orders.held_step = held.fold(orders.held_step, u64::max);
+    }
+
+    /// Returns the last step of `epoch` of `group` that this instance has ordered to hold. A release order for it may be
+    /// executed seconds later, so it must not be held again.
+    pub fn last_held_step(&self, group: &str, epoch: u64) -> u64 {
+        let orders = self.groups.get(group).filter(|orders| orders.epoch == epoch);
+        orders.map_or(0, |orders| orders.held_step)
+    }
+
     /// Returns whether states of `epoch` of `group` that are read at `at` show the effects of all orders.
     pub fn is_reported(&self, group: &str, epoch: u64, at: Timestamp) -> bool {
         let orders = self.groups.get(group).filter(|orders| orders.epoch == epoch);
--- a/crates/fuchsiabay-lockstep/src/rank_state.rs
+++ b/crates/fuchsiabay-lockstep/src/rank_state.rs
@@ -38,6 +38,11 @@
 }
 
 impl RankState {
+    /// Returns the highest version that the rank has, or has prepared.
+    pub fn highest_version(&self) -> u64 {
+        self.map_version.max(self.prepared.unwrap_or(0))
+    }
+
     /// Returns whether no order has taken effect on the rank since its group was formed.
     pub const fn is_initial(&self) -> bool {
         self.map_version == 0 && self.prepared.is_none() && self.armed.is_none() && self.held.is_none()
--- a/crates/fuchsiabay-lockstep/src/recovery.rs
+++ b/crates/fuchsiabay-lockstep/src/recovery.rs
@@ -1,72 +1,108 @@
-//! Recovery from a hold or armed ranks that a previous coordinator left behind.
+//! Recovery from a hold or armed ranks that no coordinator needs any more.
+
+use std::sync::Arc;
 
 use fuchsiabay_base::is_mechanism_enabled;
 
-use crate::{Order, RankState};
+use crate::{ArmedMap, ExpertLayout, Order, RankState};
+
+/// A copy of the layout in use under a version of its own.
+///
+/// A rank has one prepared version, and never prepares a version below one that it has had. Preparing this one makes every arm
+/// order for an earlier version fail, also one that is executed seconds after it was sent.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ReplacementLayout {
+    /// The version, which is above all versions that may have been prepared.
+    pub version: u64,
+    /// The layout in use.
+    pub layout: Arc<ExpertLayout>,
+}
 
-/// What a coordinator must do before its first switch of a group that it takes over.
+/// An unfinished switch, as far as the ranks show it.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Recovery {
-    /// Nothing, because no switch is unfinished.
-    Clean,
-    /// Send these orders in sequence, then read the states again.
-    Orders(Vec<(usize, Order)>),
+pub struct Recovery {
+    rank_count: usize,
+    /// The held steps, each with its rank.
+    held: Vec<(usize, u64)>,
+    /// The rank that holds the step as well while orders are revoked. A release order of an earlier coordinator may be executed
+    /// at any moment, but not at this rank.
+    guard: Option<(usize, u64)>,
+    /// The versions to revoke, each with its rank.
+    armed: Vec<(usize, u64)>,
+    /// Whether the switch is decided, so that only its hold is left over.
+    is_decided: bool,
 }
 
 impl Recovery {
-    /// Derives the recovery from the states of all ranks, indexed by rank.
+    /// Derives the recovery from the states of all ranks, indexed by rank. Returns `None` if no switch is unfinished.
     ///
-    /// A held switch whose ranks are all prepared is completed, because that needs no assumption about delayed orders: an
-    /// arm order that is executed late is identical to the one sent here. Otherwise the armed ranks are disarmed.
-    pub fn from_states(states: &[RankState]) -> Self {
-        let held = states.iter().enumerate().find_map(|(rank, state)| state.held.map(|step| (rank, step)));
-        let armed = states.iter().find_map(|state| state.armed);
-        match (held, armed) {
-            _ if !is_mechanism_enabled("settle-first") => Self::Clean,
-            (None, None) => Self::Clean,
-            // The switch is decided: the hold was released, and all ranks switch at the armed step.
-            (None, Some(armed)) if states.iter().all(|state| state.armed == Some(armed)) => Self::Clean,
-            (Some((rank, step)), None) => Self::Orders(vec![(rank, Order::Release { step })]),
-            (held, Some(armed)) => {
-                let step = armed.step.or(held.map(|(_, step)| step));
-                let is_prepared = |state: &RankState| {
-                    state.prepared == Some(armed.version)
-                        || state.armed.is_some_and(|a| a.version == armed.version)
-                };
-                let can_complete = held.is_some() && states.iter().all(is_prepared);
-                let orders = match step {
-                    Some(step) if can_complete => complete_switch(states, armed.version, step, held),
-                    _ => roll_back(states, held),
-                };
-                Self::Orders(orders)
-            }
+    /// `decided_step` is the step of a switch that this coordinator has completed and that has not begun yet. The switch of
+    /// another coordinator is always revoked, because its revocation may already be on the way.
+    pub fn from_states(states: &[RankState], decided_step: Option<u64>) -> Option<Self> {
+        let ranks = || states.iter().enumerate();
+        let held: Vec<_> = ranks().filter_map(|(rank, state)| Some((rank, state.held?))).collect();
+        let armed: Vec<_> = ranks().filter_map(|(rank, state)| Some((rank, state.armed?.version))).collect();
+        let common = common_armed_map(states);
+        let is_clean = held.is_empty() && (armed.is_empty() || common.is_some());
+        if is_clean || !is_mechanism_enabled("settle-first") {
+            return None;
         }
+        let armed_steps = states.iter().filter_map(|state| state.armed?.step);
+        let guarded_step = held.iter().map(|(_, step)| *step).chain(armed_steps).min();
+        let free_rank = |rank: &usize| states[*rank].held.is_none();
+        let guard = (1..states.len()).find(free_rank).zip(guarded_step);
+        let is_decided = decided_step.is_some_and(|step| {
+            common.is_some_and(|armed| armed.step == Some(step)) && held.iter().all(|(_, held)| *held == step)
+        });
+        Some(Self { rank_count: states.len(), held, guard, armed, is_decided })
     }
-}
 
-fn complete_switch(
-    states: &[RankState],
-    version: u64,
-    step: u64,
-    held: Option<(usize, u64)>,
-) -> Vec<(usize, Order)> {
-    let unarmed = states.iter().enumerate().filter(|(_, state)| state.armed.is_none());
-    let mut orders: Vec<_> = unarmed.map(|(rank, _)| (rank, Order::Arm { version, step })).collect();
-    // The step is released only after the states have been read again and show that every rank is armed.
-    if orders.is_empty()
-        && let Some((rank, step)) = held
-    {
-        orders.push((rank, Order::Release { step }));
+    /// Returns whether the last layout to which the coordinator has switched remains in force.
+    pub const fn keeps_layout(&self) -> bool {
+        self.is_decided
+    }
+
+    /// The recovery from a switch to `version` at `step` that was aborted while its ranks were being armed.
+    pub(crate) fn from_aborted_switch(rank_count: usize, version: u64, hold_rank: usize, step: u64) -> Self {
+        let armed = (0..rank_count).map(|rank| (rank, version)).collect();
+        let guard = (rank_count > 1).then_some(((hold_rank + 1) % rank_count, step));
+        Self { rank_count, held: vec![(hold_rank, step)], guard, armed, is_decided: false }
     }
-    orders
-}
 
-fn roll_back(states: &[RankState], held: Option<(usize, u64)>) -> Vec<(usize, Order)> {
-    let armed =
-        states.iter().enumerate().filter_map(|(rank, state)| state.armed.map(|armed| (rank, armed.version)));
-    let orders: Vec<_> = armed.map(|(rank, version)| (rank, Order::Disarm { version })).collect();
-    match held {
-        Some((rank, step)) if orders.is_empty() => vec![(rank, Order::Release { step })],
-        _ => orders,
+    /// Returns the orders of each stage. The orders of a stage are sent only if all those of the previous stage were accepted.
+    /// Otherwise, the states must be read again.
+    ///
+    /// Another rank holds the step before anything is revoked. No hold is released while an arm order that is still on the way could take effect. An idle group would begin the released
+    /// step seconds later, with the ranks armed in the meantime. Without `replacement`, arm orders are only revoked.
+    pub fn stages(&self, replacement: Option<&ReplacementLayout>) -> Vec<Vec<(usize, Order)>> {
+        let mut held = self.held.clone();
+        let mut stages = Vec::new();
+        if !self.is_decided {
+            let guard = self.guard.filter(|_| is_mechanism_enabled("guard-hold"));
+            let replacement = replacement.filter(|_| is_mechanism_enabled("replace-before-release"));
+            held.extend(guard);
+            stages.push(guard.map(|(rank, step)| (rank, Order::Hold { step })).into_iter().collect());
+            stages.push(
+                self.armed
+                    .iter()
+                    .map(|(rank, version)| (*rank, Order::Disarm { version: *version }))
+                    .collect(),
+            );
+            stages.push(replacement.map_or_else(Vec::new, |replacement| self.prepare(replacement)));
+        }
+        stages.push(held.iter().map(|(rank, step)| (*rank, Order::Release { step: *step })).collect());
+        stages.retain(|stage: &Vec<_>| !stage.is_empty());
+        stages
     }
+
+    fn prepare(&self, replacement: &ReplacementLayout) -> Vec<(usize, Order)> {
+        let order = Order::Prepare { version: replacement.version, layout: replacement.layout.clone() };
+        (0..self.rank_count).map(|rank| (rank, order.clone())).collect()
+    }
+}
+
+/// Returns the map that every rank is armed with.
+fn common_armed_map(states: &[RankState]) -> Option<ArmedMap> {
+    let first = states.first()?.armed?;
+    states.iter().all(|state| state.armed == Some(first)).then_some(first)
 }
--- a/crates/fuchsiabay-lockstep/src/switch.rs
+++ b/crates/fuchsiabay-lockstep/src/switch.rs
@@ -4,11 +4,14 @@
 
 use fuchsiabay_base::{Timestamp, invariant, is_mechanism_enabled};
 
-use crate::{ExpertLayout, LeaseTerm, Order, OrderReply, RankState};
+use crate::{ExpertLayout, LeaseTerm, Order, OrderReply, RankState, Recovery};
 
 /// The interval at which an order without an accepted reply is resent, in milliseconds.
 const RESEND_INTERVAL_MS: u64 = 120;
 
+/// The rank that holds the step of a switch.
+const HOLD_RANK: usize = 0;
+
 /// The number of conflict replies of a rank to arm orders after which the switch is rolled back. A rank replies with a
 /// conflict while it copies experts.
 const MAX_ARM_CONFLICTS: u32 = 12;
@@ -16,6 +19,10 @@
 /// The number of steps for which a hold is attempted before the switch is aborted.
 const MAX_HOLD_ATTEMPTS: u32 = 4;
 
+/// The reason of a switch that was aborted after its step was held. It is a label value of `fuchsiabay_map_switches_total`, so
+/// its text must not change.
+const TAKEN_BACK: &str = "taken back";
+
 /// The timing of the phases of a switch.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SwitchTiming {
@@ -56,7 +63,6 @@
     Verifying { step: u64 },
     Arming { step: u64 },
     Releasing { step: u64, switched: bool },
-    Disarming { step: u64 },
     Ended(SwitchOutcome),
 }
 
@@ -78,18 +84,20 @@
     timing: SwitchTiming,
     phase: Phase,
     ranks: Vec<RankProgress>,
-    hold_rank: usize,
     hold_attempts: u32,
     last_step: u64,
+    /// The held step for which not all ranks could be armed.
+    unarmed_step: Option<u64>,
 }
 
 impl MapSwitch {
-    /// Creates the switch of a group to `layout` under `version`. `last_step` is the last step known to have begun.
+    /// Creates the switch of a group to `layout` under `version`. `last_step` is the last step that has begun, or that this
+    /// coordinator has held before.
     pub fn new(version: u64, layout: Arc<ExpertLayout>, last_step: u64, timing: SwitchTiming) -> Self {
         let rank_count = layout.sets.first().map_or(0, Vec::len);
         let ranks = vec![RankProgress::default(); rank_count];
         let phase = Phase::Preparing;
-        Self { version, layout, timing, phase, ranks, hold_rank: 0, hold_attempts: 0, last_step }
+        Self { version, layout, timing, phase, ranks, hold_attempts: 0, last_step, unarmed_step: None }
     }
 
     /// Returns the outcome, or `None` while the switch is in progress.
@@ -100,6 +108,12 @@
         }
     }
 
+    /// Returns what remains to be done after the switch was aborted, or `None` if nothing does.
+    pub fn recovery(&self) -> Option<Recovery> {
+        let step = self.unarmed_step?;
+        Some(Recovery::from_aborted_switch(self.ranks.len(), self.version, HOLD_RANK, step))
+    }
+
     /// Returns the name of the phase, for logs.
     pub fn phase(&self) -> &'static str {
         match self.phase {
@@ -109,7 +123,6 @@
             Phase::Verifying { .. } => "verifying",
             Phase::Arming { .. } => "arming",
             Phase::Releasing { .. } => "releasing",
-            Phase::Disarming { .. } => "disarming",
             Phase::Ended(_) => "ended",
         }
     }
@@ -123,7 +136,6 @@
             Phase::Releasing { step, .. } => return self.poll_hold_rank(Order::Release { step }, now),
             Phase::Preparing => Order::Prepare { version: self.version, layout: self.layout.clone() },
             Phase::Arming { step } => Order::Arm { version: self.version, step },
-            Phase::Disarming { .. } => Order::Disarm { version: self.version },
         };
         let mut orders = Vec::new();
         for (rank, progress) in self.ranks.iter_mut().enumerate() {
@@ -151,13 +163,10 @@
                 let outcome = if switched {
                     SwitchOutcome::Switched { step }
                 } else {
-                    SwitchOutcome::Aborted("taken back")
+                    SwitchOutcome::Aborted(TAKEN_BACK)
                 };
                 self.phase = Phase::Ended(outcome);
             }
-            (Phase::Disarming { .. }, Order::Disarm { .. }) if reply != OrderReply::Unanswered => {
-                self.ranks[rank].is_done = true;
-            }
             _ => {}
         }
         self.advance(now);
@@ -170,7 +179,7 @@
             Phase::Preparing | Phase::Confirming if state.prepared == Some(self.version) => {
                 self.ranks[rank].is_done = true;
             }
-            Phase::Holding { step } if rank == self.hold_rank && state.held == Some(step) => {
+            Phase::Holding { step } if rank == HOLD_RANK && state.held == Some(step) => {
                 self.start_phase(Phase::Verifying { step });
             }
             Phase::Verifying { step } => self.verify(rank, step, state),
@@ -215,12 +224,12 @@
     }
 
     fn poll_hold_rank(&mut self, order: Order, now: Timestamp) -> Vec<(usize, Order)> {
-        let progress = &mut self.ranks[self.hold_rank];
+        let progress = &mut self.ranks[HOLD_RANK];
         if progress.send_at > now {
             return Vec::new();
         }
         progress.send_at = now.plus_millis(RESEND_INTERVAL_MS);
-        vec![(self.hold_rank, order)]
+        vec![(HOLD_RANK, order)]
     }
 
     fn handle_prepare_reply(&mut self, rank: usize, reply: OrderReply) {
@@ -240,7 +249,7 @@
             OrderReply::Conflict => {
                 self.last_step = self.last_step.max(step);
                 self.start_holding();
-                self.ranks[self.hold_rank].send_at = now;
+                self.ranks[HOLD_RANK].send_at = now;
             }
             OrderReply::Unanswered => {}
         }
@@ -254,7 +263,8 @@
             OrderReply::Conflict => {
                 progress.conflicts += 1;
                 if progress.conflicts >= MAX_ARM_CONFLICTS {
-                    self.start_phase(Phase::Disarming { step });
+                    self.unarmed_step = Some(step);
+                    self.phase = Phase::Ended(SwitchOutcome::Aborted(TAKEN_BACK));
                 }
             }
         }
@@ -279,19 +289,23 @@
             Phase::Arming { step } if all_done => {
                 self.start_phase(Phase::Releasing { step, switched: true });
             }
-            Phase::Disarming { step } if all_done => {
-                self.start_phase(Phase::Releasing { step, switched: false });
-            }
             _ => {}
         }
     }
 
     fn start_holding(&mut self) {
         self.hold_attempts += 1;
-        let step = self.last_step + self.timing.lead_steps;
+        let step = self.next_held_step();
         self.start_phase(Phase::Holding { step });
     }
 
+    /// Returns the step to hold. Coordinators of consecutive terms, whose versions differ in parity, never hold the same step of an
+    /// idle group, so that no release order of the previous one releases it.
+    const fn next_held_step(&self) -> u64 {
+        let step = self.last_step + self.timing.lead_steps;
+        step + (step + self.version) % 2
+    }
+
     fn start_arming(&mut self, step: u64) {
         invariant!("hold_before_arm", self.phase == Phase::Verifying { step }, "phase {:?}", self.phase);
         self.start_phase(Phase::Arming { step });
--- a/crates/fuchsiabay-prove/src/lib.rs
+++ b/crates/fuchsiabay-prove/src/lib.rs
@@ -49,6 +49,7 @@
 mod trace;
 
 pub use lockstep_group::LockstepGroup;
+pub use lockstep_script::{LockstepAction, OrderKind};
 pub use mechanism::{MECHANISMS, Mechanism};
 pub use options::{Options, options};
 pub use outcome::Outcome;
--- a/crates/fuchsiabay-prove/src/lockstep_group.rs
+++ b/crates/fuchsiabay-prove/src/lockstep_group.rs
@@ -48,6 +48,8 @@
     /// The last step that has begun.
     pub step: u64,
     next_step_ms: u64,
+    /// Until when the group has no work and begins no step, in milliseconds.
+    idle_until_ms: u64,
     delayed_orders: Vec<DelayedOrder>,
     /// The states that the ranks report, and when each rank reports its state anew, in milliseconds.
     reports: Vec<(RankState, u64)>,
@@ -67,6 +69,7 @@
             epoch: 1,
             step: 0,
             next_step_ms: STEP_MS,
+            idle_until_ms: 0,
             delayed_orders: Vec::new(),
             reports,
             rng: fastrand::Rng::with_seed(seed),
@@ -80,6 +83,11 @@
         self.next_step_ms = now_ms + STEP_MS;
     }
 
+    /// Leaves the group without work until `until_ms`.
+    pub fn idle_until(&mut self, until_ms: u64) {
+        self.idle_until_ms = self.idle_until_ms.max(until_ms);
+    }
+
     /// Schedules an order to be executed at `at_ms`, without a reply.
     pub fn execute_later(&mut self, at_ms: u64, rank: usize, epoch: u64, order: &Order) {
         self.delayed_orders.push(DelayedOrder { at_ms, rank, epoch, order: order.clone() });
@@ -105,7 +113,7 @@
         self.ranks.iter_mut().for_each(|rank| rank.finish_copy(now_ms));
         self.update_reports(now_ms);
         let is_held = self.ranks.iter().any(|rank| rank.held == Some(self.step + 1));
-        if now_ms < self.next_step_ms || is_held {
+        if now_ms < self.next_step_ms.max(self.idle_until_ms) || is_held {
             return Ok(());
         }
         self.step += 1;
@@ -176,8 +184,11 @@
             Order::Prepare { version, layout } => self.prepare(*version, layout, now_ms),
             Order::Hold { step: at } => self.hold(*at, step),
             Order::Arm { version, step: at } => self.arm(*version, *at, step),
-            Order::Disarm { version } => self.armed.take_if(|armed| armed.version == *version).is_some(),
-            Order::Release { step: at } => self.held.take_if(|held| held == at).is_some(),
+            Order::Disarm { version } => self.disarm(*version),
+            Order::Release { step: at } => {
+                self.held.take_if(|held| held == at);
+                true
+            }
         };
         if accepted { OrderReply::Accepted } else { OrderReply::Conflict }
     }
@@ -207,6 +218,12 @@
         true
     }
 
+    /// Only a version that is in use cannot be disarmed.
+    fn disarm(&mut self, version: u64) -> bool {
+        self.armed.take_if(|armed| armed.version == version);
+        self.map.0 != version
+    }
+
     fn arm(&mut self, version: u64, at: u64, step: u64) -> bool {
         let armed = ArmedMap { version, step: Some(at) };
         if self.armed == Some(armed) {
--- a/crates/fuchsiabay-prove/src/lockstep_script.rs
+++ b/crates/fuchsiabay-prove/src/lockstep_script.rs
@@ -1,5 +1,6 @@
 //! Scripts of faults during map switches of a group whose ranks execute the orders themselves.
 
+use fuchsiabay_lockstep::Order;
 use serde::{Deserialize, Serialize};
 
 use crate::Step;
@@ -9,6 +10,39 @@
 /// The latest start of a fault in a script, in milliseconds.
 pub(crate) const SCRIPT_MS: u64 = 15_000;
 
+/// A kind of order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Serialize, Deserialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum OrderKind {
+    /// To copy experts.
+    Prepare,
+    /// To hold a step.
+    Hold,
+    /// To switch at a step.
+    Arm,
+    /// To revoke an arm order.
+    Disarm,
+    /// To release a step.
+    Release,
+}
+
+impl OrderKind {
+    /// All kinds.
+    pub const ALL: [Self; 5] = [Self::Prepare, Self::Hold, Self::Arm, Self::Disarm, Self::Release];
+
+    /// Returns the kind of `order`.
+    pub(crate) const fn of(order: &Order) -> Self {
+        match order {
+            Order::Prepare { .. } => Self::Prepare,
+            Order::Hold { .. } => Self::Hold,
+            Order::Arm { .. } => Self::Arm,
+            Order::Disarm { .. } => Self::Disarm,
+            Order::Release { .. } => Self::Release,
+        }
+    }
+}
+
 /// A fault of the coordinator, of the delivery of orders or of the group.
 #[derive(Clone, Debug, PartialEq, Eq)]
 #[derive(Serialize, Deserialize)]
@@ -31,6 +65,18 @@
         /// The percentage of orders that get no reply.
         percent: u32,
     },
+    /// Orders of one kind get no reply and are executed seconds later.
+    DelayOrders {
+        /// The kind.
+        kind: OrderKind,
+        /// How long it lasts, in milliseconds.
+        ms: u64,
+    },
+    /// The group has no work and begins no step.
+    Idle {
+        /// How long it lasts, in milliseconds.
+        ms: u64,
+    },
     /// A rank is unreachable for state queries and orders. The group continues to run.
     HideRank {
         /// The rank.
@@ -45,7 +91,7 @@
 impl LockstepAction {
     /// Returns whether the action is a fault.
     pub(crate) const fn is_fault(&self) -> bool {
-        true
+        !matches!(self, Self::Idle { .. })
     }
 
     /// Generates a random script. One in ten has no fault.
@@ -56,6 +102,10 @@
         for _ in 0..faults / 2 {
             steps.extend(Self::handover(rng));
         }
+        for _ in 0..rng.usize(0..4) {
+            let action = Self::Idle { ms: rng.u64(500..10_000) };
+            steps.push(Step { at_ms: rng.u64(0..SCRIPT_MS), action });
+        }
         steps.sort_by_key(|step| step.at_ms);
         steps
     }
@@ -80,9 +130,10 @@
     }
 
     fn fault(rng: &mut fastrand::Rng) -> Self {
-        match rng.u8(0..7) {
+        match rng.u8(0..8) {
             0 => Self::Kill,
             6 => Self::Reassign,
+            7 => Self::DelayOrders { kind: OrderKind::ALL[rng.usize(0..5)], ms: rng.u64(100..3_000) },
             1 | 2 => Self::Freeze { ms: rng.u64(200..6_000) },
             3 => Self::LoseReplies { ms: rng.u64(500..6_000), percent: rng.u32(5..60) },
             4 => Self::HideRank { rank: rng.usize(0..RANKS), ms: rng.u64(200..3_000) },
--- a/crates/fuchsiabay-prove/src/lockstep_world.rs
+++ b/crates/fuchsiabay-prove/src/lockstep_world.rs
@@ -4,14 +4,14 @@
 
 use fuchsiabay_base::{Timestamp, is_mechanism_enabled};
 use fuchsiabay_lockstep::{
-    ExpertLayout, LeaseTerm, MapSwitch, Order, OrderHistory, OrderReply, Recovery, SwitchOutcome,
-    SwitchTiming, Takeover,
+    ExpertLayout, LeaseTerm, MapSwitch, Order, OrderHistory, OrderReply, RankState, Recovery,
+    ReplacementLayout, StallWatch, SwitchOutcome, SwitchTiming, Takeover,
 };
 
 use crate::{
     Outcome, Step,
     lockstep_group::{LockstepGroup, STEP_MS},
-    lockstep_script::{LockstepAction, RANKS, SCRIPT_MS},
+    lockstep_script::{LockstepAction, OrderKind, RANKS, SCRIPT_MS},
 };
 
 /// The name of the group.
@@ -28,6 +28,8 @@
 const LEASE_MARGIN_MS: u64 = 200;
 /// The interval between renewals of the lease, in milliseconds.
 const RENEWAL_INTERVAL_MS: u64 = 500;
+/// The share of completed switches after which the coordinator reads the group anew, as it does when a server joins, in percent.
+const REDISCOVERY_PERCENT: u32 = 12;
 /// The delay after which an order without a reply may be executed, in milliseconds.
 const EXECUTION_DELAY_MS: std::ops::Range<u64> = 2_000..12_000;
 /// The minimum number of completed switches in the fault-free period. Fewer mean that the group can no longer switch
@@ -45,12 +47,29 @@
     stop_at_ms: Option<u64>,
     /// The switch in progress, with the epoch of the group for which it was begun.
     switch: Option<(u64, Box<MapSwitch>)>,
+    /// The last completed switch.
+    decided: Option<DecidedSwitch>,
     history: OrderHistory,
 }
 
+/// A switch that the coordinator has completed.
+#[derive(Clone, Copy, Debug)]
+struct DecidedSwitch {
+    epoch: u64,
+    step: u64,
+    watch: StallWatch,
+}
+
 impl Coordinator {
     fn new(term: u64, idle_until_ms: u64) -> Self {
-        Self { term, idle_until_ms, stop_at_ms: None, switch: None, history: OrderHistory::default() }
+        Self {
+            term,
+            idle_until_ms,
+            stop_at_ms: None,
+            switch: None,
+            decided: None,
+            history: OrderHistory::default(),
+        }
     }
 }
 
@@ -59,10 +78,14 @@
     rng: fastrand::Rng,
     /// The coordinators, of which the last one holds the lease. The others may not know yet that they have lost it.
     coordinators: Vec<Coordinator>,
+    /// The last term of the lease. No two coordinators hold the lease in the same term.
+    last_term: u64,
     /// When the lease of a frozen holder expires, so that another coordinator takes over.
     lease_expires_at_ms: Option<u64>,
     /// Until when replies are lost, and their percentage.
     reply_loss: (u64, u32),
+    /// The kinds of orders that are executed late, each with its end.
+    delayed_kinds: Vec<(OrderKind, u64)>,
     unreachable_until_ms: [u64; RANKS],
     /// The number of completed switches in the fault-free period.
     fault_free_switches: u32,
@@ -75,8 +98,10 @@
             group: LockstepGroup::new(!seed),
             rng: fastrand::Rng::with_seed(seed),
             coordinators: vec![Coordinator::new(1, 0)],
+            last_term: 1,
             lease_expires_at_ms: None,
             reply_loss: (0, 0),
+            delayed_kinds: Vec::new(),
             unreachable_until_ms: [0; RANKS],
             fault_free_switches: 0,
             outcome: Outcome::default(),
@@ -110,6 +135,8 @@
                 self.replace_holder(at_ms, false);
             }
             LockstepAction::LoseReplies { ms, percent } => self.reply_loss = (now_ms + ms, percent),
+            LockstepAction::DelayOrders { kind, ms } => self.delayed_kinds.push((kind, now_ms + ms)),
+            LockstepAction::Idle { ms } => self.group.idle_until(now_ms + ms),
             LockstepAction::HideRank { rank, ms } => self.unreachable_until_ms[rank % RANKS] = now_ms + ms,
             LockstepAction::Regroup => self.group.regroup(now_ms),
         }
@@ -131,11 +158,11 @@
 
     /// Adds the next lease holder, which takes over at `at_ms`.
     fn replace_holder(&mut self, at_ms: u64, predecessor_stopped: bool) {
-        let term = self.coordinators.iter().map(|coordinator| coordinator.term).max().unwrap_or(0) + 1;
+        self.last_term += 1;
         let takeover =
             Takeover { acquired_at: Timestamp::from_millis(at_ms), predecessor_stopped, lease_ms: LEASE_MS };
         let idle_until_ms = takeover.ready_at().as_millis();
-        self.coordinators.push(Coordinator::new(term, idle_until_ms));
+        self.coordinators.push(Coordinator::new(self.last_term, idle_until_ms));
         self.lease_expires_at_ms = None;
     }
 
@@ -158,12 +185,10 @@
                 continue;
             }
             match coordinator.switch.take() {
-                Some((epoch, switch)) => {
-                    coordinator.switch = self.advance_switch(epoch, switch, &mut coordinator.history, now_ms)
-                }
+                Some((epoch, switch)) => self.advance_switch(coordinator, epoch, switch, now_ms),
                 // A coordinator that does not know that it has lost the lease continues as before.
                 None if i == holder || !lease_expired => {
-                    coordinator.switch = self.begin_switch(coordinator.term, &mut coordinator.history, now_ms)
+                    coordinator.switch = self.begin_switch(coordinator, now_ms);
                 }
                 None => {}
             }
@@ -185,48 +210,88 @@
         if self.is_unreachable(rank, now_ms) {
             return OrderReply::Unanswered;
         }
+        let kind = OrderKind::of(order);
+        if self.delayed_kinds.iter().any(|(delayed, until_ms)| *delayed == kind && now_ms < *until_ms) {
+            return self.execute_later(rank, epoch, order, now_ms);
+        }
         let (until_ms, percent) = self.reply_loss;
         if now_ms >= until_ms || self.rng.u32(..100) >= percent {
             return self.group.execute(rank, epoch, order, now_ms);
         }
         if self.rng.bool() {
             self.group.execute(rank, epoch, order, now_ms);
-        } else {
-            self.group.execute_later(now_ms + self.rng.u64(EXECUTION_DELAY_MS), rank, epoch, order);
+            return OrderReply::Unanswered;
         }
+        self.execute_later(rank, epoch, order, now_ms)
+    }
+
+    fn execute_later(&mut self, rank: usize, epoch: u64, order: &Order, now_ms: u64) -> OrderReply {
+        self.group.execute_later(now_ms + self.rng.u64(EXECUTION_DELAY_MS), rank, epoch, order);
         OrderReply::Unanswered
     }
 
-    /// Completes or rolls back the unfinished switch of a previous coordinator, or begins a new one.
-    fn begin_switch(
-        &mut self,
-        term: u64,
-        history: &mut OrderHistory,
-        now_ms: u64,
-    ) -> Option<(u64, Box<MapSwitch>)> {
+    /// Sends the orders of a recovery until one is not accepted.
+    fn recover(&mut self, recovery: &Recovery, coordinator: &mut Coordinator, epoch: u64, now_ms: u64) {
+        let highest = self.states().iter().map(RankState::highest_version).max().unwrap_or(0);
+        let term = LeaseTerm { store_epoch: 0, generation: coordinator.term };
+        let version = coordinator.history.choose_version(GROUP, highest, term);
+        let replacement = ReplacementLayout { version, layout: Arc::new(ExpertLayout { sets: Vec::new() }) };
+        for stage in recovery.stages(Some(&replacement)) {
+            coordinator.history.record_holds(GROUP, stage.iter().map(|(_, order)| order));
+            coordinator.history.record(GROUP, epoch, Timestamp::from_millis(now_ms));
+            let replies: Vec<_> =
+                stage.iter().map(|(rank, order)| self.send_order(*rank, epoch, order, now_ms)).collect();
+            if replies.iter().any(|reply| *reply != OrderReply::Accepted) {
+                return;
+            }
+        }
+    }
+
+    fn states(&self) -> Vec<RankState> {
+        (0..RANKS).map(|rank| self.group.reported_state(rank)).collect()
+    }
+
+    /// Returns whether the coordinator leaves the group as it is, because the step of its last switch has not begun. It only
+    /// looks whether that step is held, from time to time.
+    fn awaits_step(&self, coordinator: &mut Coordinator, now_ms: u64) -> bool {
+        let now = Timestamp::from_millis(now_ms);
+        let Some(decided) = &mut coordinator.decided else {
+            return false;
+        };
+        if decided.epoch != self.group.epoch || decided.step <= self.group.step {
+            coordinator.decided = None;
+            return false;
+        }
+        decided.watch.record_step(self.group.step, now);
+        let ranks = decided.watch.take_due(RANKS, now);
+        !ranks
+            .into_iter()
+            .any(|rank| !self.is_unreachable(rank, now_ms) && self.group.reported_state(rank).held.is_some())
+    }
+
+    /// Recovers from an unfinished switch, or begins a new one.
+    fn begin_switch(&mut self, coordinator: &mut Coordinator, now_ms: u64) -> Option<(u64, Box<MapSwitch>)> {
         let now = Timestamp::from_millis(now_ms);
-        if (0..RANKS).any(|rank| self.is_unreachable(rank, now_ms)) {
+        if self.awaits_step(coordinator, now_ms) || (0..RANKS).any(|rank| self.is_unreachable(rank, now_ms)) {
             return None;
         }
-        let states: Vec<_> = (0..RANKS).map(|rank| self.group.reported_state(rank)).collect();
+        let states = self.states();
         let epoch = states[0].epoch;
         let is_in_one_epoch = states.iter().all(|state| state.epoch == epoch);
-        if !is_in_one_epoch || !history.is_reported(GROUP, epoch, now) {
+        if !is_in_one_epoch || !coordinator.history.is_reported(GROUP, epoch, now) {
             return None;
         }
-        if let Recovery::Orders(orders) = Recovery::from_states(&states) {
-            for (rank, order) in orders {
-                self.send_order(rank, epoch, &order, now_ms);
-            }
-            history.record(GROUP, epoch, now);
+        let decided_step = coordinator.decided.as_ref().map(|decided| decided.step);
+        if let Some(recovery) = Recovery::from_states(&states, decided_step) {
+            self.recover(&recovery, coordinator, epoch, now_ms);
             return None;
         }
         if states.iter().any(|state| state.armed.is_some()) {
             return None;
         }
-        let highest = states.iter().map(|state| state.map_version.max(state.prepared.unwrap_or(0))).max();
-        let term = LeaseTerm { store_epoch: 0, generation: term };
-        let version = history.choose_version(GROUP, highest.unwrap_or(0), term);
+        let highest = states.iter().map(RankState::highest_version).max().unwrap_or(0);
+        let term = LeaseTerm { store_epoch: 0, generation: coordinator.term };
+        let version = coordinator.history.choose_version(GROUP, highest, term);
         let content = vec![self.rng.u16(..)];
         let layout = Arc::new(ExpertLayout { sets: vec![vec![content; RANKS]] });
         let timing = SwitchTiming {
@@ -234,42 +299,52 @@
             prepare_deadline: now.plus_millis(2_500),
             lead_steps: 2,
         };
-        Some((epoch, Box::new(MapSwitch::new(version, layout, self.group.step, timing))))
+        let last_step = self.group.step.max(coordinator.history.last_held_step(GROUP, epoch));
+        Some((epoch, Box::new(MapSwitch::new(version, layout, last_step, timing))))
     }
 
-    /// Advances a switch. Returns it unless it has ended.
+    /// Advances a switch, which remains with the coordinator unless it has ended.
     fn advance_switch(
         &mut self,
+        coordinator: &mut Coordinator,
         epoch: u64,
         mut switch: Box<MapSwitch>,
-        history: &mut OrderHistory,
         now_ms: u64,
-    ) -> Option<(u64, Box<MapSwitch>)> {
+    ) {
         let now = Timestamp::from_millis(now_ms);
         switch.record_step(self.group.step);
-        for (rank, order) in switch.poll(now) {
+        let orders = switch.poll(now);
+        coordinator.history.record_holds(GROUP, orders.iter().map(|(_, order)| order));
+        for (rank, order) in orders {
             let reply = self.send_order(rank, epoch, &order, now_ms);
-            history.record(GROUP, epoch, now);
+            coordinator.history.record(GROUP, epoch, now);
             switch.handle_reply(rank, &order, reply, now);
         }
-        let ranks = switch.ranks_to_read();
-        if !ranks.is_empty() {
-            for rank in ranks {
-                if self.is_unreachable(rank, now_ms) {
-                    switch.handle_unreachable(rank);
-                    continue;
-                }
-                let state = self.group.reported_state(rank);
-                if state.epoch != epoch {
-                    return None;
+        for rank in switch.ranks_to_read() {
+            if self.is_unreachable(rank, now_ms) {
+                switch.handle_unreachable(rank);
+                continue;
+            }
+            let state = self.group.reported_state(rank);
+            if state.epoch != epoch {
+                return;
+            }
+            switch.handle_state(rank, &state, now);
+        }
+        match switch.outcome() {
+            None => coordinator.switch = Some((epoch, switch)),
+            Some(SwitchOutcome::Switched { step }) => {
+                self.fault_free_switches += u32::from(now_ms > FAULTS_END_MS);
+                let watch = StallWatch::new(self.group.step, now);
+                let is_kept = self.rng.u32(..100) >= REDISCOVERY_PERCENT;
+                coordinator.decided = is_kept.then_some(DecidedSwitch { epoch, step, watch });
+            }
+            Some(SwitchOutcome::Aborted(_)) => {
+                if let Some(recovery) = switch.recovery() {
+                    self.recover(&recovery, coordinator, epoch, now_ms);
                 }
-                switch.handle_state(rank, &state, now);
             }
         }
-        let outcome = switch.outcome();
-        self.fault_free_switches +=
-            u32::from(now_ms > FAULTS_END_MS && matches!(outcome, Some(SwitchOutcome::Switched { .. })));
-        outcome.is_none().then_some((epoch, switch))
     }
 
     fn evaluate(mut self, step_after_faults: u64) -> Outcome {
--- a/crates/fuchsiabay-prove/src/mechanism.rs
+++ b/crates/fuchsiabay-prove/src/mechanism.rs
@@ -11,6 +11,8 @@
     pub description: &'static str,
     /// The promise that is violated without it.
     pub promise: Promise,
+    /// Another mechanism that prevents the same violations, and is disabled together with it.
+    pub masked_by: Option<&'static str>,
 }
 
 /// Every mechanism that can be disabled.
@@ -83,20 +85,44 @@
         Promise::LockstepMap,
     ),
     mechanism(
-        "stop-at-lease-end",
-        "off: a coordinator issues orders although another one may have taken over",
+        "guard-hold",
+        "off: a recovery relies on a hold that an earlier coordinator may already have ordered to release",
         Promise::LockstepMap,
     ),
     mechanism(
-        "wait-for-lease-end",
-        "off: a coordinator issues orders although its predecessor may still run, unaware of the takeover",
+        "replace-before-release",
+        "off: a hold is released although a rank could still be armed by an order that is executed late",
         Promise::LockstepMap,
     ),
     mechanism(
-        "wait-for-reports",
-        "off: a coordinator acts on states of ranks that may lack the effects of its own orders",
+        "watch-stalls",
+        "off: a coordinator does not look for held steps after its switches",
         Promise::LockstepMap,
     ),
+    masked(
+        "guard-hold",
+        mechanism(
+            "stop-at-lease-end",
+            "off: a coordinator issues orders although another one may have taken over",
+            Promise::LockstepMap,
+        ),
+    ),
+    masked(
+        "guard-hold",
+        mechanism(
+            "wait-for-lease-end",
+            "off: a coordinator issues orders although its predecessor may still run, unaware of the takeover",
+            Promise::LockstepMap,
+        ),
+    ),
+    masked(
+        "guard-hold",
+        mechanism(
+            "wait-for-reports",
+            "off: a coordinator acts on states of ranks that may lack the effects of its own orders",
+            Promise::LockstepMap,
+        ),
+    ),
     mechanism(
         "ask-everybody",
         "off: an instance with stale state does not call all others",
@@ -153,7 +179,12 @@
 ];
 
 const fn mechanism(name: &'static str, description: &'static str, promise: Promise) -> Mechanism {
-    Mechanism { name, description, promise }
+    Mechanism { name, description, promise, masked_by: None }
+}
+
+/// A mechanism whose absence shows only while `mask` is disabled, too.
+const fn masked(mask: &'static str, mechanism: Mechanism) -> Mechanism {
+    Mechanism { masked_by: Some(mask), ..mechanism }
 }
 
 impl Mechanism {
@@ -165,10 +196,13 @@
     /// Runs `f` with `mechanism` disabled. Without the feature `ablation`, every mechanism stays enabled.
     pub(crate) fn without<R>(mechanism: Option<&'static Self>, f: impl FnOnce() -> R) -> R {
         #[cfg(feature = "ablation")]
-        fuchsiabay_base::disable_mechanism(mechanism.map(|mechanism| mechanism.name));
+        fuchsiabay_base::disable_mechanisms([
+            mechanism.map(|mechanism| mechanism.name),
+            mechanism.and_then(|mechanism| mechanism.masked_by),
+        ]);
         let result = f();
         #[cfg(feature = "ablation")]
-        fuchsiabay_base::disable_mechanism(None);
+        fuchsiabay_base::disable_mechanisms([None; 2]);
         let _ = mechanism;
         result
     }
--- a/crates/fuchsiabay-prove/src/script.rs
+++ b/crates/fuchsiabay-prove/src/script.rs
@@ -75,7 +75,7 @@
     }
 
     /// Runs the script. `seed` determines the delays of all messages.
-    pub(crate) fn run(&self, promise: Promise, seed: u64) -> Outcome {
+    pub fn run(&self, promise: Promise, seed: u64) -> Outcome {
         match self {
             Self::Claims(steps) => ClaimsWorld::run(steps, promise, seed),
             Self::Config(steps) => ConfigWorld::run(steps, seed),
