Release steps that a late hold order leaves held

The coordinator looked only at the token counts of a known group, and waited without a limit for the step to begin.

Ruled out: a lost release order (it was accepted), the coordinator's lease (it was held all the time).

Now the coordinator asks the first two ranks of a group, and one other in turn, whether they hold a step, if no step has begun for 500 ms, and every 500 ms from then on. A held step without a running switch is released: at once if all ranks are armed for the coordinator's own switch, and otherwise by a recovery. It costs three reports per 500 ms for an idle group and nothing for a busy one.

Tests: `late_hold_of_a_known_group_is_released` fails on (no order within 2 s).

--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -117,7 +117,9 @@
         let mut kept = Vec::new();
         for mut group in groups.drain(..) {
             group.set_slowdowns(|server| shard.slowdown(server));
-            if !sample_demand(engines, &mut group).await {
+            if !sample_demand(engines, &mut group).await
+                || !release_left_over_hold(gateway, engines, &mut group, history).await
+            {
                 continue;
             }
             let gap_goal_ms = config.gap_goal_ms(shard.name());
@@ -164,6 +166,36 @@
     true
 }
 
+/// Looks for a step that is held although no switch is running, if no step has begun for some time. A hold order may be
+/// executed after the step was released. Returns false if the group must be discovered again.
+async fn release_left_over_hold<E: EngineControl>(
+    gateway: &Gateway,
+    engines: &Arc<E>,
+    group: &mut Group,
+    history: &mut OrderHistory,
+) -> bool {
+    let now = monotonic_now();
+    let asked: Vec<_> =
+        group.take_hold_check(now).into_iter().map(|rank| group.ranks[rank].clone()).collect();
+    if asked.is_empty() || !history.is_reported(&group.name, group.epoch, now) {
+        return true;
+    }
+    let held = read_states(engines, &asked).await.into_iter().find_map(|(_, _, state)| state.held);
+    let Some(step) = held else {
+        return true;
+    };
+    log::warn!(group = group.name.as_str(), epoch = group.epoch, step; "group: a step is held without a switch");
+    let states = read_states(engines, &group.ranks).await;
+    let states: Vec<RankState> = states.into_iter().map(|(_, _, state)| state).collect();
+    let is_known = states.len() == group.ranks.len() && states.iter().all(|state| state.epoch == group.epoch);
+    let Some(recovery) = Recovery::from_states(&states, group.pending_switch_step).filter(|_| is_known)
+    else {
+        return false;
+    };
+    recover(gateway, engines, &group.to_recover(), &recovery, history).await;
+    recovery.keeps_layout()
+}
+
 /// Plans a better layout and switches to it if that is worthwhile. Returns false if the state of the ranks is no longer
 /// known.
 async fn rebalance<E: EngineControl>(
--- a/crates/fuchsiabay-gateway/src/groups/group.rs
+++ b/crates/fuchsiabay-gateway/src/groups/group.rs
@@ -4,7 +4,7 @@
 
 use fuchsiabay_balancer::{EngineProfile, ServerRecord};
 use fuchsiabay_base::{InstanceId, Timestamp};
-use fuchsiabay_lockstep::{ExpertDemand, ExpertLayout, PauseBudget, RankState};
+use fuchsiabay_lockstep::{ExpertDemand, ExpertLayout, PauseBudget, RankState, StallWatch};
 
 use super::recovery::RecoveredGroup;
 
@@ -50,6 +50,7 @@
     /// The position at which the next sample starts.
     next_sampled: usize,
     pauses: PauseBudget,
+    stall_watch: StallWatch,
     /// Whether no switch has been attempted since the group was discovered.
     pub(super) is_new: bool,
     /// The step at which the last switch takes effect, until that step has started.
@@ -82,6 +83,7 @@
             read_ms: 0.0,
             next_sampled: 0,
             pauses: PauseBudget::default(),
+            stall_watch: StallWatch::new(step, now),
             is_new: true,
             pending_switch_step: None,
             next_plan_at: now,
@@ -138,6 +140,7 @@
 
     /// Records the last step that has started.
     pub(super) fn record_step(&mut self, step: u64, now: Timestamp) {
+        self.stall_watch.record_step(step, now);
         if step > self.step {
             let ms = now.millis_since(self.step_seen_at) as f64 / (step - self.step) as f64;
             self.step_ms += STEP_WEIGHT * (ms - self.step_ms);
@@ -146,6 +149,11 @@
         }
     }
 
+    /// Returns the ranks that must be asked now whether they hold a step, because no step has begun for some time.
+    pub(super) fn take_hold_check(&mut self, now: Timestamp) -> Vec<usize> {
+        self.stall_watch.take_due(self.ranks.len(), now)
+    }
+
     /// Returns the parts that a recovery of the group needs.
     pub(super) fn to_recover(&self) -> RecoveredGroup<'_> {
         RecoveredGroup {
--- a/crates/fuchsiabay-gateway/tests/groups.rs
+++ b/crates/fuchsiabay-gateway/tests/groups.rs
@@ -51,4 +51,6 @@
 release_cases! {
     /// Guards against a hold of an earlier coordinator that is released while its arm orders may still be executed.
     hold_of_an_earlier_coordinator_is_released_under_a_new_version: true, ["prepare", "release"];
+    /// Guards against a group that stays held because a hold order was executed after the release of its step.
+    late_hold_of_a_known_group_is_released: false, ["prepare", "release"];
 }
