Limit the bodies of all connections together, and answers of engines by what they may hold

Reported by operators of similar systems: a faulty worker sent bytes without end, the machine that called it kept them all, ran out of memory, and the requests of other clients ended with it.

It could happen here. Calls of the process itself did not: each answer to a report, a count, an order or a list of experts could take 16 MiB, and the coordinator makes 32 calls at once, an agent as many as other instances ask for. Heads, interim responses, chunk lines and trailers were limited already. Two related paths had limits for one connection only: incomplete events of streams (1 MiB each) and bodies of callers' requests (4 MiB each on the sites).

Now each kind of body has a budget: a limit for one, a limit for all together, and a size up to which a body is always accepted, so that large bodies do not prevent calls to sound peers. Answers to calls take 1 MiB at most (4 MiB together), pages of the store 4 MiB for each of its few clients. A request whose body finds no room gets 503 with `not-run`. `ResponseBudget` becomes `BodyBudget`, and one function reads a body within its limits where two did.

--- a/crates/fuchsiabay-gateway/src/agent.rs
+++ b/crates/fuchsiabay-gateway/src/agent.rs
@@ -23,7 +23,8 @@
 use smol::net::{TcpListener, TcpStream};
 
 use crate::{
-    CallResponse, HttpClient, StartError,
+    CallBudget, CallResponse, HttpClient, StartError,
+    body_budget::{BodyBudget, ORDER_LIMITS},
     compression::{ORDER_ENCODING, decompress},
     http::{BodyReader, BufferedSocket, RequestHead},
     signals::{SignalAction, SignalListener},
@@ -35,9 +36,6 @@
 /// Idle timeout of a connection, in milliseconds. The coordinator sends several queries a second.
 const IDLE_TIMEOUT_MS: u64 = 20_000;
 
-/// Maximum size of an order, in bytes. A map of 64 ranks and 256 experts per layer takes about 100 KB.
-const MAX_BODY_BYTES: usize = 4 * 1024 * 1024;
-
 /// Maximum size of a request head, in bytes.
 const MAX_HEAD_BYTES: usize = 16 * 1024;
 
@@ -76,6 +74,10 @@
 struct Agent {
     settings: AgentSettings,
     idle_clients: Mutex<Vec<HttpClient>>,
+    /// The memory of responses of engines.
+    call_budget: CallBudget,
+    /// The memory of orders.
+    order_budget: BodyBudget,
     calls: AtomicU64,
     unanswered: AtomicU64,
     /// Whether the engine of this instance did not respond to the last call.
@@ -124,6 +126,8 @@
         let agent = Arc::new(Agent {
             settings,
             idle_clients: Mutex::default(),
+            call_budget: CallBudget::default(),
+            order_budget: BodyBudget::new(ORDER_LIMITS),
             calls: AtomicU64::new(0),
             unanswered: AtomicU64::new(0),
             engine_is_silent: AtomicBool::new(false),
@@ -157,7 +161,7 @@
             sleep_until(monotonic_now().plus_millis(IDLE_TIMEOUT_MS)).await;
             None
         };
-        let Some((head, body)) = read_request(&mut socket).or(idle_timeout).await else {
+        let Some((head, body)) = read_request(&mut socket, &agent.order_budget).or(idle_timeout).await else {
             return;
         };
         let response = agent.handle(&head, &body).await;
@@ -168,11 +172,11 @@
     }
 }
 
-async fn read_request(socket: &mut BufferedSocket) -> Option<(RequestHead, Vec<u8>)> {
+async fn read_request(socket: &mut BufferedSocket, budget: &BodyBudget) -> Option<(RequestHead, Vec<u8>)> {
     loop {
         if let Some((head, len)) = RequestHead::parse(socket.buffered()).ok()? {
             socket.consume(len);
-            let body = BodyReader::new(head.framing).read_to_end(socket, MAX_BODY_BYTES).await.ok()?;
+            let body = BodyReader::new(head.framing).read_to_end(socket, &mut budget.lease()).await.ok()?;
             return Some((head, body));
         }
         if socket.buffered().len() > MAX_HEAD_BYTES || socket.fill().await.ok()? == 0 {
@@ -242,7 +246,7 @@
         post: Option<(&str, &[u8])>,
     ) -> Option<CallResponse> {
         let idle_client = if is_own_engine { self.idle_clients.lock().pop() } else { None };
-        let mut client = idle_client.unwrap_or_else(|| HttpClient::new(engine));
+        let mut client = idle_client.unwrap_or_else(|| HttpClient::with_budget(engine, &self.call_budget));
         let started_at = monotonic_now();
         let deadline = started_at.plus_millis(CALL_TIMEOUT_MS);
         let result = match post {
@@ -296,7 +300,7 @@
 fn decode_body<'a>(head: &RequestHead, body: &'a [u8]) -> Option<Cow<'a, [u8]>> {
     match head.headers.get("content-encoding") {
         None => Some(body.into()),
-        Some(ORDER_ENCODING) => decompress(body, MAX_BODY_BYTES).map(Cow::from),
+        Some(ORDER_ENCODING) => decompress(body, ORDER_LIMITS.one).map(Cow::from),
         Some(_) => None,
     }
 }
--- a/crates/fuchsiabay-gateway/src/backend/failure.rs
+++ b/crates/fuchsiabay-gateway/src/backend/failure.rs
@@ -36,7 +36,7 @@
     pub(crate) const fn failure_kind(&self) -> FailureKind {
         match self {
             Self::Io(_) | Self::Truncated | Self::TimedOut => FailureKind::ConnectionLost,
-            Self::Malformed(_) | Self::TooLarge => FailureKind::InvalidResponse,
+            Self::Malformed(_) | Self::Limit(_) => FailureKind::InvalidResponse,
         }
     }
 }
--- a/crates/fuchsiabay-gateway/src/client.rs
+++ b/crates/fuchsiabay-gateway/src/client.rs
@@ -7,11 +7,9 @@
 use futures_lite::FutureExt;
 use smol::net::TcpStream;
 
+use crate::body_budget::{BodyBudget, BodyLease, CALL_LIMITS, STORE_LIMITS};
 use crate::http::{BodyError, BodyReader, BufferedSocket, Headers, ReadHeadError, ResponseHead};
 
-/// Maximum size of a response body, in bytes. A page of the store's records takes a few megabytes.
-const MAX_RESPONSE_BYTES: usize = 16 * 1024 * 1024;
-
 /// Why a call returned no response.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
@@ -70,12 +68,30 @@
 pub struct HttpClient {
     addr: SocketAddr,
     socket: Option<BufferedSocket>,
+    budget: BodyBudget,
+}
+
+/// The memory that the responses to the calls of several clients may use together.
+#[derive(Clone, Debug)]
+pub struct CallBudget(BodyBudget);
+
+impl Default for CallBudget {
+    fn default() -> Self {
+        Self(BodyBudget::new(CALL_LIMITS))
+    }
 }
 
 impl HttpClient {
     /// Creates a client for the server at `addr`. The connection is opened by the first call.
-    pub const fn new(addr: SocketAddr) -> Self {
-        Self { addr, socket: None }
+    ///
+    /// A response may be as large as a page of the store.
+    pub fn new(addr: SocketAddr) -> Self {
+        Self { addr, socket: None, budget: BodyBudget::new(STORE_LIMITS) }
+    }
+
+    /// Creates a client whose responses share `budget` with those of other clients.
+    pub fn with_budget(addr: SocketAddr, budget: &CallBudget) -> Self {
+        Self { addr, socket: None, budget: budget.0.clone() }
     }
 
     /// Sends a GET request for `target`.
@@ -124,7 +140,7 @@
         };
         // Taken out so that cancelling the call closes the connection.
         let idle = self.socket.take();
-        let (response, socket) = exchange(self.addr, idle, bytes).or(timeout).await?;
+        let (response, socket) = exchange(self.addr, idle, bytes, self.budget.lease()).or(timeout).await?;
         self.socket = socket;
         Ok(response)
     }
@@ -134,6 +150,7 @@
     addr: SocketAddr,
     idle: Option<BufferedSocket>,
     bytes: &[u8],
+    mut lease: BodyLease,
 ) -> Result<(CallResponse, Option<BufferedSocket>), CallError> {
     let mut socket = match reusable_socket(idle).await {
         Some(socket) => socket,
@@ -146,7 +163,7 @@
         ReadHeadError::Head(error) => CallError::Malformed(error.to_string()),
     })?;
     let mut body = BodyReader::new(head.framing);
-    let bytes = body.read_to_end(&mut socket, MAX_RESPONSE_BYTES).await.map_err(|error| match error {
+    let bytes = body.read_to_end(&mut socket, &mut lease).await.map_err(|error| match error {
         BodyError::Io(error) => CallError::Io(error),
         error => CallError::Malformed(error.to_string()),
     })?;
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -20,12 +20,12 @@
 use crate::{
     GatewaySettings, LiveSettings,
     backend::ConnectionPool,
+    body_budget::{BodyBudget, EVENT_LIMITS, REQUEST_LIMITS, RESPONSE_LIMITS},
     coordinator_lease::{CoordinatorLease, boot_now},
     crash_events,
     drain::Drain,
     longest_deadlines::LongestDeadlines,
     neighbours::{CrashUpdate, DirectoryUpdate, ExchangeReply},
-    response_budget::ResponseBudget,
     shard::ServiceShard,
 };
 
@@ -33,7 +33,12 @@
 pub(crate) struct Gateway {
     pub(crate) settings: GatewaySettings,
     pub(crate) connections: ConnectionPool,
-    pub(crate) response_budget: ResponseBudget,
+    /// The memory of responses that are buffered.
+    pub(crate) response_budget: BodyBudget,
+    /// The memory of events that are incomplete.
+    pub(crate) event_budget: BodyBudget,
+    /// The memory of the bodies of callers' requests.
+    pub(crate) request_budget: BodyBudget,
     live: RwLock<LiveSettings>,
     config: RwLock<ConfigSlot>,
     directory: Mutex<Directory>,
@@ -62,7 +67,9 @@
             live: RwLock::new(settings.live),
             settings,
             connections: ConnectionPool::default(),
-            response_budget: ResponseBudget::default(),
+            response_budget: BodyBudget::new(RESPONSE_LIMITS),
+            event_budget: BodyBudget::new(EVENT_LIMITS),
+            request_budget: BodyBudget::new(REQUEST_LIMITS),
             config: RwLock::default(),
             directory: Mutex::default(),
             shards: RwLock::default(),
--- a/crates/fuchsiabay-gateway/src/http/body.rs
+++ b/crates/fuchsiabay-gateway/src/http/body.rs
@@ -3,6 +3,7 @@
 use std::io;
 
 use super::{BufferedSocket, ChunkDecoder, Framing, HeadError};
+use crate::body_budget::{BodyLease, BodyLimitError};
 
 /// Why a body could not be read to its end.
 #[derive(Debug)]
@@ -20,9 +21,9 @@
     /// The body did not arrive in time.
     #[error("the body did not arrive in time")]
     TimedOut,
-    /// The body exceeds the limit.
-    #[error("the body exceeds the limit")]
-    TooLarge,
+    /// The body exceeds a limit.
+    #[error(transparent)]
+    Limit(#[from] BodyLimitError),
 }
 
 /// Reads a body. The variant states what is left to read.
@@ -70,18 +71,16 @@
         Ok(())
     }
 
-    /// Reads the rest of the body, which may have at most `limit` bytes.
+    /// Reads the rest of the body, as far as the limits of `lease` allow it.
     pub(crate) async fn read_to_end(
         &mut self,
         socket: &mut BufferedSocket,
-        limit: usize,
+        lease: &mut BodyLease,
     ) -> Result<Vec<u8>, BodyError> {
         let mut body = Vec::new();
         while !self.is_done() {
             self.read_some(socket, &mut body).await?;
-            if body.len() > limit {
-                return Err(BodyError::TooLarge);
-            }
+            lease.resize(body.len())?;
         }
         Ok(body)
     }
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod agent;
 mod backend;
+mod body_budget;
 mod caller;
 mod client;
 mod compression;
@@ -29,14 +30,13 @@
 mod neighbours;
 mod request;
 mod request_metrics;
-mod response_budget;
 mod settings;
 mod shard;
 mod signals;
 mod source;
 
 pub use agent::{AgentSettings, DEMAND_PATH, RunningAgent, TARGET_ENGINE_HEADER, run_agent};
-pub use client::{CallError, CallResponse, HttpClient};
+pub use client::{CallBudget, CallError, CallResponse, HttpClient};
 pub use compression::{ORDER_ENCODING, compress};
 pub use daemon::{RunningGateway, StartError, run};
 pub use groups::{EngineControl, EngineError, EngineReport, RankExperts};
--- a/crates/fuchsiabay-gateway/src/request/buffered.rs
+++ b/crates/fuchsiabay-gateway/src/request/buffered.rs
@@ -10,15 +10,10 @@
 use crate::{
     backend::{Attempt, Failure, FailureKind},
     caller::until_interrupted,
-    http::{BodyError, BufferedSocket},
-    response_budget::BufferLease,
+    http::BufferedSocket,
     shard::SlotGuard,
 };
 
-/// The largest response that is buffered, in bytes. Responses are buffered so that an incomplete one can be replaced by a
-/// retry.
-const MAX_RESPONSE_BYTES: usize = 8 * 1024 * 1024;
-
 /// How long writing a complete response to the caller may take, in milliseconds. This may extend past the request's
 /// deadline.
 const WRITE_GRACE_MS: u64 = 2_000;
@@ -55,7 +50,7 @@
         return Err(None);
     }
     let mut lease = forwarder.request.gateway.response_budget.lease();
-    let read = read_body(&mut attempt, &mut lease);
+    let read = attempt.body.read_to_end(&mut attempt.connection.socket, &mut lease);
     let body = forwarder
         .request
         .until_interrupted(socket, read)
@@ -87,18 +82,6 @@
     Ok(relay(forwarder, socket, &head, &body).await)
 }
 
-/// Reads the rest of a response's body.
-async fn read_body(attempt: &mut Attempt, lease: &mut BufferLease<'_>) -> Result<Vec<u8>, BodyError> {
-    let mut body = Vec::new();
-    while !attempt.body.is_done() {
-        attempt.body.read_some(&mut attempt.connection.socket, &mut body).await?;
-        if body.len() > MAX_RESPONSE_BYTES || !lease.extend_to(body.len()) {
-            return Err(BodyError::TooLarge);
-        }
-    }
-    Ok(body)
-}
-
 async fn relay(
     forwarder: &Forwarder<'_>,
     socket: &mut BufferedSocket,
--- a/crates/fuchsiabay-gateway/src/request/event_splitter.rs
+++ b/crates/fuchsiabay-gateway/src/request/event_splitter.rs
@@ -5,13 +5,10 @@
 pub(super) enum EventError {
     /// The id of an event is not one above the previous id.
     OutOfOrder,
-    /// The bytes are not an event with a numeric id, or the event is too long.
+    /// The bytes are not an event with a numeric id.
     Malformed,
 }
 
-/// The largest event, in bytes.
-const MAX_EVENT_BYTES: usize = 1024 * 1024;
-
 /// Splits a stream into complete events and checks their order.
 ///
 /// Invariant: the output is a sequence of complete events without gaps or duplicates, across all servers that sent parts of
@@ -44,7 +41,7 @@
             self.forwarded += 1;
         }
         self.searched = self.partial.len();
-        if self.partial.len() > MAX_EVENT_BYTES { Err(EventError::Malformed) } else { Ok(()) }
+        Ok(())
     }
 
     /// Discards an incomplete event. The next event must follow the last complete one.
@@ -58,6 +55,11 @@
         self.partial.is_empty()
     }
 
+    /// Returns the number of bytes of the incomplete event.
+    pub(super) fn partial_len(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Returns the id of the last complete event.
     pub(super) fn last_id(&self) -> Option<u64> {
         self.last_id
--- a/crates/fuchsiabay-gateway/src/request/mod.rs
+++ b/crates/fuchsiabay-gateway/src/request/mod.rs
@@ -17,6 +17,7 @@
 use self::{forwarder::Forwarder, routed_request::RoutedRequest};
 use crate::{
     backend::OutgoingRequest,
+    body_budget::{BodyLease, BodyLimitError},
     caller::LocalResponse,
     gateway::Gateway,
     http::{BodyError, BodyReader, BufferedSocket, Framing, RequestHead},
@@ -26,6 +27,9 @@
 /// How long reading the body may take if the caller states no deadline, in milliseconds.
 const BODY_TIMEOUT_MS: u64 = 10_000;
 
+/// The retry delay that is stated to callers while the bodies of other requests take all memory for bodies, in milliseconds.
+const BODIES_RETRY_MS: u64 = 500;
+
 /// The outcome of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum RequestOutcome {
@@ -49,7 +53,8 @@
 
 async fn serve_inner(gateway: &Arc<Gateway>, socket: &mut BufferedSocket, head: &RequestHead) -> bool {
     let arrived = monotonic_now();
-    let body = match read_body(gateway, socket, head, arrived).await {
+    // The lease counts the body until the request ends.
+    let (body, _lease) = match read_body(gateway, socket, head, arrived).await {
         Ok(body) => body,
         Err(None) => return false,
         Err(Some(response)) => {
@@ -120,25 +125,28 @@
     socket: &mut BufferedSocket,
     head: &RequestHead,
     arrived: Timestamp,
-) -> Result<Vec<u8>, Option<LocalResponse>> {
+) -> Result<(Vec<u8>, BodyLease), Option<LocalResponse>> {
     let limit = gateway.limits().max_body_bytes;
     if matches!(head.framing, Framing::Length(length) if length > limit as u64) {
         return Err(Some(LocalResponse::rejected(413, "body_too_large")));
     }
+    let mut lease = gateway.request_budget.lease_up_to(limit);
     if head.framing == Framing::Empty {
-        return Ok(Vec::new());
+        return Ok((Vec::new(), lease));
     }
     if head.headers.contains_token("expect", "100-continue") && socket.buffered().is_empty() {
         let written = socket.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
         written.map_err(|_| None)?;
     }
     let deadline = arrived.plus_millis(stated_deadline_ms(gateway, head).unwrap_or(BODY_TIMEOUT_MS));
-    let reader = BodyReader::new(head.framing);
-    let body = read_with_deadline(reader, socket, limit, deadline).await;
-    body.map_err(|error| match error {
+    let body = read_with_deadline(BodyReader::new(head.framing), socket, &mut lease, deadline).await;
+    body.map(|body| (body, lease)).map_err(|error| match error {
         BodyError::Io(_) | BodyError::Truncated => None,
         BodyError::Malformed(_) => Some(LocalResponse::rejected(400, "malformed_body")),
-        BodyError::TooLarge => Some(LocalResponse::rejected(413, "body_too_large")),
+        BodyError::Limit(BodyLimitError::TooLarge) => Some(LocalResponse::rejected(413, "body_too_large")),
+        BodyError::Limit(BodyLimitError::Exhausted) => {
+            Some(LocalResponse::unavailable("bodies_exhausted", BODIES_RETRY_MS))
+        }
         BodyError::TimedOut => Some(LocalResponse::rejected(408, "slow_body")),
     })
 }
@@ -146,7 +154,7 @@
 async fn read_with_deadline(
     mut reader: BodyReader,
     socket: &mut BufferedSocket,
-    limit: usize,
+    lease: &mut BodyLease,
     deadline: Timestamp,
 ) -> Result<Vec<u8>, BodyError> {
     use futures_lite::FutureExt;
@@ -154,7 +162,7 @@
         fuchsiabay_runtime::sleep_until(deadline).await;
         Err(BodyError::TimedOut)
     };
-    reader.read_to_end(socket, limit).or(timeout).await
+    reader.read_to_end(socket, lease).or(timeout).await
 }
 
 /// Writes a response that this instance generated. Returns whether the connection stays open.
--- a/crates/fuchsiabay-gateway/src/request/stream.rs
+++ b/crates/fuchsiabay-gateway/src/request/stream.rs
@@ -13,6 +13,7 @@
 };
 use crate::{
     backend::{Attempt, Failure, FailureKind},
+    body_budget::BodyLease,
     http::{BufferedSocket, ResponseHead},
     request_metrics,
     shard::SlotGuard,
@@ -31,7 +32,11 @@
 /// Forwards a request and relays its event stream to the caller.
 pub(super) async fn run(forwarder: &mut Forwarder<'_>, socket: &mut BufferedSocket) -> RequestOutcome {
     let last_id = forwarder.last_event_id.as_deref().and_then(|id| id.trim().parse().ok());
-    let mut relay = Relay::new(socket.writer(), EventSplitter::resuming_after(last_id));
+    let mut relay = Relay::new(
+        socket.writer(),
+        EventSplitter::resuming_after(last_id),
+        forwarder.request.gateway.event_budget.lease(),
+    );
     loop {
         let (mut slot, mut attempt) = match forwarder.send_with_retries(socket).await {
             Ok(response) => response,
@@ -132,6 +137,8 @@
 struct Relay {
     writer: TcpStream,
     splitter: EventSplitter,
+    /// The memory of the incomplete event.
+    lease: BodyLease,
     /// Whether the response head was written. It is the head of the first server that sent events.
     head_written: bool,
     /// The content type in the head that was written.
@@ -145,10 +152,11 @@
 }
 
 impl Relay {
-    fn new(writer: TcpStream, splitter: EventSplitter) -> Self {
+    fn new(writer: TcpStream, splitter: EventSplitter, lease: BodyLease) -> Self {
         Self {
             writer,
             splitter,
+            lease,
             head_written: false,
             content_type: None,
             out: Vec::new(),
@@ -188,7 +196,9 @@
                 return SegmentEnd::Failed(error.failure_kind());
             }
             let mut events = Vec::new();
-            if self.splitter.push(&bytes, &mut events).is_err() {
+            let is_valid = self.splitter.push(&bytes, &mut events).is_ok()
+                && self.lease.resize(self.splitter.partial_len()).is_ok();
+            if !is_valid {
                 // The events before the invalid one are still valid.
                 return match self.write(request, attempt, &events, false).await {
                     Ok(()) => SegmentEnd::Failed(FailureKind::InvalidResponse),
--- a/crates/fuchsiabay-gateway/tests/support/caller.rs
+++ b/crates/fuchsiabay-gateway/tests/support/caller.rs
@@ -47,6 +47,11 @@
         self.stream.write_all(bytes).await.expect("the connection is open");
     }
 
+    /// Sends bytes. Returns whether the connection is open.
+    pub async fn try_send(&mut self, bytes: &[u8]) -> bool {
+        self.stream.write_all(bytes).await.is_ok()
+    }
+
     /// Sends a request and reads the response. Returns None if the connection is closed before the head is complete.
     pub async fn round_trip(&mut self, bytes: &[u8]) -> Option<Response> {
         self.send(bytes).await;
