--- a/crates/fuchsiabay-gateway/src/groups/discovery.rs
+++ b/crates/fuchsiabay-gateway/src/groups/discovery.rs
@@ -14,8 +14,8 @@
 };
 use crate::gateway::Gateway;
 
-/// Finds the open groups among `servers`, revokes unfinished switches, and reads the layouts. Groups whose
-/// states may lack the effects of orders in `history` are left out.
+/// Finds the open groups among `servers`, revokes unfinished switches, and reads the layouts. Groups whose states may lack the
+/// effects of orders in `history` are left out.
 pub(super) async fn discover<E: EngineControl>(
     gateway: &Gateway,
     engines: &Arc<E>,
@@ -53,12 +53,12 @@
             let servers: Vec<_> = ranks.iter().map(|(server, _)| server.clone()).collect();
             let map_version = states.iter().map(RankState::highest_version).max().unwrap_or(0);
             let group =
-                RecoveredGroup { name: &name, epoch, ranks: &servers, layout: layout.as_ref(), map_version };
+                RecoveredGroup { name: &name, epoch, ranks: &servers, layout: layout.common(), map_version };
             recover(gateway, engines, &group, &recovery, history).await;
             continue;
         }
-        let Some(layout) = layout else {
-            log::warn!(group = name.as_str(), epoch; "group: the ranks have different layouts");
+        let LayoutInUse::Common(layout) = layout else {
+            log::debug!("group: the ranks of {name} have different layouts");
             continue;
         };
         log::info!(group = name.as_str(), epoch, map = ranks[0].1.map_version, ranks = ranks.len(); "group: found");
@@ -80,11 +80,27 @@
         })
 }
 
-/// Reads the layout in use. The inner value is None if the ranks have different ones, the outer one if a rank did not respond.
+/// The layout in use, as the ranks state it.
+enum LayoutInUse {
+    Common(ExpertLayout),
+    /// The ranks have different ones.
+    Mixed,
+}
+
+impl LayoutInUse {
+    fn common(&self) -> Option<&ExpertLayout> {
+        match self {
+            Self::Common(layout) => Some(layout),
+            Self::Mixed => None,
+        }
+    }
+}
+
+/// Reads the layout in use. Returns None if a rank did not respond.
 async fn read_layout<E: EngineControl>(
     engines: &Arc<E>,
     ranks: &[(Arc<ServerRecord>, RankState)],
-) -> Option<Option<ExpertLayout>> {
+) -> Option<LayoutInUse> {
     let servers: Vec<_> = ranks.iter().map(|(server, _)| server.clone()).collect();
     let results = call_each(servers, |server| {
         let engines = engines.clone();
@@ -103,8 +119,8 @@
         return None;
     }
     if by_rank.iter().any(|rank| rank.map_version != first.map_version) {
-        return Some(None);
+        return Some(LayoutInUse::Mixed);
     }
     let experts: Vec<Vec<Vec<u16>>> = by_rank.into_iter().map(|rank| rank.experts).collect();
-    Some(Some(ExpertLayout::from_ranks(&experts)))
+    Some(LayoutInUse::Common(ExpertLayout::from_ranks(&experts)))
 }
--- a/crates/fuchsiabay-lockstep/src/recovery.rs
+++ b/crates/fuchsiabay-lockstep/src/recovery.rs
@@ -50,7 +50,8 @@
         let armed_steps = states.iter().filter_map(|state| state.armed?.step);
         let guarded_step = held.iter().map(|(_, step)| *step).chain(armed_steps).min();
         let free_rank = |rank: &usize| states[*rank].held.is_none();
-        let guard = (1..states.len()).find(free_rank).zip(guarded_step);
+        // The first rank comes last, because it holds the steps of switches.
+        let guard = (1..states.len()).chain([0]).find(free_rank).zip(guarded_step);
         let is_decided = decided_step.is_some_and(|step| {
             common.is_some_and(|armed| armed.step == Some(step)) && held.iter().all(|(_, held)| *held == step)
         });
@@ -72,8 +73,9 @@
     /// Returns the orders of each stage. The orders of a stage are sent only if all those of the previous stage were accepted.
     /// Otherwise, the states must be read again.
     ///
-    /// Another rank holds the step before anything is revoked. No hold is released while an arm order that is still on the way could take effect. An idle group would begin the released
-    /// step seconds later, with the ranks armed in the meantime. Without `replacement`, arm orders are only revoked.
+    /// Another rank holds the step before anything is revoked. No hold is released while an arm order that is still on the way
+    /// could take effect, because an idle group would begin the released step seconds later, with the ranks armed in the meantime.
+    /// Without `replacement`, arm orders are only revoked.
     pub fn stages(&self, replacement: Option<&ReplacementLayout>) -> Vec<Vec<(usize, Order)>> {
         let mut held = self.held.clone();
         let mut stages = Vec::new();
@@ -81,13 +83,8 @@
             let guard = self.guard.filter(|_| is_mechanism_enabled("guard-hold"));
             let replacement = replacement.filter(|_| is_mechanism_enabled("replace-before-release"));
             held.extend(guard);
-            stages.push(guard.map(|(rank, step)| (rank, Order::Hold { step })).into_iter().collect());
-            stages.push(
-                self.armed
-                    .iter()
-                    .map(|(rank, version)| (*rank, Order::Disarm { version: *version }))
-                    .collect(),
-            );
+            stages.push(guard.iter().map(|(rank, step)| (*rank, Order::Hold { step: *step })).collect());
+            stages.push(self.disarm());
             stages.push(replacement.map_or_else(Vec::new, |replacement| self.prepare(replacement)));
         }
         stages.push(held.iter().map(|(rank, step)| (*rank, Order::Release { step: *step })).collect());
@@ -95,6 +92,10 @@
         stages
     }
 
+    fn disarm(&self) -> Vec<(usize, Order)> {
+        self.armed.iter().map(|(rank, version)| (*rank, Order::Disarm { version: *version })).collect()
+    }
+
     fn prepare(&self, replacement: &ReplacementLayout) -> Vec<(usize, Order)> {
         let order = Order::Prepare { version: replacement.version, layout: replacement.layout.clone() };
         (0..self.rank_count).map(|rank| (rank, order.clone())).collect()
