Send the orders of a recovery again until they are accepted

Cause: each stage of a recovery was sent once, and the recovery ended with the first order that got no reply. While a third of the orders gets none, 16 ranks accept a prepare order at the first attempt in 0.1% of the cases, so that a group would have stayed held until the loss ended. Before the recovery prepared a layout, one release order was enough.

Now orders without a reply are sent again, nine times at most; a conflict ends the recovery at once. `RecoveryRun` holds the progress, without I/O.

`MapSwitch::phase` was not used and is gone.

--- a/crates/fuchsiabay-gateway/src/groups/recovery.rs
+++ b/crates/fuchsiabay-gateway/src/groups/recovery.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use fuchsiabay_balancer::ServerRecord;
-use fuchsiabay_lockstep::{ExpertLayout, OrderHistory, OrderReply, Recovery, ReplacementLayout};
+use fuchsiabay_lockstep::{ExpertLayout, OrderHistory, Recovery, ReplacementLayout};
 use fuchsiabay_runtime::monotonic_now;
 
 use super::{EngineControl, orders::send_all};
@@ -21,8 +21,7 @@
     pub(super) map_version: u64,
 }
 
-/// Sends the orders of `recovery`, stage by stage, until one is not accepted. The states of the ranks must be read again
-/// afterwards.
+/// Sends the orders of `recovery`. The states of the ranks must be read again afterwards.
 pub(super) async fn recover<E: EngineControl>(
     gateway: &Gateway,
     engines: &Arc<E>,
@@ -38,7 +37,12 @@
         version: history.choose_version(group.name, group.map_version, lease.term()),
         layout: Arc::new(layout.clone()),
     });
-    for orders in recovery.stages(replacement.as_ref()) {
+    let mut run = recovery.start(replacement.as_ref());
+    loop {
+        let orders = run.orders();
+        if orders.is_empty() || !lease.is_held() {
+            return;
+        }
         for (rank, order) in &orders {
             log::warn!(
                 group = group.name, epoch = group.epoch, rank = *rank, order = order.as_str();
@@ -48,8 +52,7 @@
         history.record_holds(group.name, orders.iter().map(|(_, order)| order));
         let replies = send_all(lease, engines, group.ranks, group.epoch, orders).await;
         history.record(group.name, group.epoch, monotonic_now());
-        if replies.iter().any(|(_, _, reply)| *reply != OrderReply::Accepted) {
-            return;
-        }
+        let replies: Vec<_> = replies.into_iter().map(|(_, _, reply)| reply).collect();
+        run.handle_replies(&replies);
     }
 }
--- a/crates/fuchsiabay-lockstep/src/recovery.rs
+++ b/crates/fuchsiabay-lockstep/src/recovery.rs
@@ -4,7 +4,7 @@
 
 use fuchsiabay_base::is_mechanism_enabled;
 
-use crate::{ArmedMap, ExpertLayout, Order, RankState};
+use crate::{ArmedMap, ExpertLayout, Order, RankState, RecoveryRun};
 
 /// A copy of the layout in use under a version of its own.
 ///
@@ -70,13 +70,12 @@
         Self { rank_count, held: vec![(hold_rank, step)], guard, armed, is_decided: false }
     }
 
-    /// Returns the orders of each stage. The orders of a stage are sent only if all those of the previous stage were accepted.
-    /// Otherwise, the states must be read again.
+    /// Returns the orders of the recovery in stages.
     ///
     /// Another rank holds the step before anything is revoked. No hold is released while an arm order that is still on the way
     /// could take effect, because an idle group would begin the released step seconds later, with the ranks armed in the meantime.
     /// Without `replacement`, arm orders are only revoked.
-    pub fn stages(&self, replacement: Option<&ReplacementLayout>) -> Vec<Vec<(usize, Order)>> {
+    pub fn start(&self, replacement: Option<&ReplacementLayout>) -> RecoveryRun {
         let mut held = self.held.clone();
         let mut stages = Vec::new();
         if !self.is_decided {
@@ -88,8 +87,7 @@
             stages.push(replacement.map_or_else(Vec::new, |replacement| self.prepare(replacement)));
         }
         stages.push(held.iter().map(|(rank, step)| (*rank, Order::Release { step: *step })).collect());
-        stages.retain(|stage: &Vec<_>| !stage.is_empty());
-        stages
+        RecoveryRun::new(stages)
     }
 
     fn disarm(&self) -> Vec<(usize, Order)> {
--- a/crates/fuchsiabay-lockstep/src/switch.rs
+++ b/crates/fuchsiabay-lockstep/src/switch.rs
@@ -114,19 +114,6 @@
         Some(Recovery::from_aborted_switch(self.ranks.len(), self.version, HOLD_RANK, step))
     }
 
-    /// Returns the name of the phase, for logs.
-    pub fn phase(&self) -> &'static str {
-        match self.phase {
-            Phase::Preparing => "preparing",
-            Phase::Confirming => "confirming",
-            Phase::Holding { .. } => "holding",
-            Phase::Verifying { .. } => "verifying",
-            Phase::Arming { .. } => "arming",
-            Phase::Releasing { .. } => "releasing",
-            Phase::Ended(_) => "ended",
-        }
-    }
-
     /// Advances the switch and returns the orders to send now, each with its rank.
     pub fn poll(&mut self, now: Timestamp) -> Vec<(usize, Order)> {
         self.advance(now);
--- a/crates/fuchsiabay-prove/src/lockstep_world.rs
+++ b/crates/fuchsiabay-prove/src/lockstep_world.rs
@@ -230,20 +230,23 @@
         OrderReply::Unanswered
     }
 
-    /// Sends the orders of a recovery until one is not accepted.
+    /// Sends the orders of a recovery.
     fn recover(&mut self, recovery: &Recovery, coordinator: &mut Coordinator, epoch: u64, now_ms: u64) {
         let highest = self.states().iter().map(RankState::highest_version).max().unwrap_or(0);
         let term = LeaseTerm { store_epoch: 0, generation: coordinator.term };
         let version = coordinator.history.choose_version(GROUP, highest, term);
         let replacement = ReplacementLayout { version, layout: Arc::new(ExpertLayout { sets: Vec::new() }) };
-        for stage in recovery.stages(Some(&replacement)) {
+        let mut run = recovery.start(Some(&replacement));
+        loop {
+            let stage = run.orders();
+            if stage.is_empty() {
+                return;
+            }
             coordinator.history.record_holds(GROUP, stage.iter().map(|(_, order)| order));
             coordinator.history.record(GROUP, epoch, Timestamp::from_millis(now_ms));
             let replies: Vec<_> =
                 stage.iter().map(|(rank, order)| self.send_order(*rank, epoch, order, now_ms)).collect();
-            if replies.iter().any(|reply| *reply != OrderReply::Accepted) {
-                return;
-            }
+            run.handle_replies(&replies);
         }
     }
 
--- a/crates/fuchsiabay-prove/tests/lockstep_switches.rs
+++ b/crates/fuchsiabay-prove/tests/lockstep_switches.rs
@@ -60,15 +60,16 @@
         self.group.execute(rank, epoch, order, now_ms)
     }
 
-    /// Sends the orders of a recovery until one is not accepted.
+    /// Sends the orders of a recovery.
     fn recover(&mut self, recovery: &Recovery, term: u64, now_ms: u64) {
         let version = self.choose_version(term);
         let replacement = ReplacementLayout { version, layout: Arc::new(ExpertLayout { sets: Vec::new() }) };
-        for stage in recovery.stages(Some(&replacement)) {
-            let replies: Vec<_> = stage.iter().map(|(rank, order)| self.send(*rank, order, now_ms)).collect();
-            if replies.iter().any(|reply| *reply != OrderReply::Accepted) {
-                return;
-            }
+        let mut run = recovery.start(Some(&replacement));
+        while !run.orders().is_empty() {
+            let orders = run.orders();
+            let replies: Vec<_> =
+                orders.iter().map(|(rank, order)| self.send(*rank, order, now_ms)).collect();
+            run.handle_replies(&replies);
         }
     }
 
