Remember held steps from the first order of an epoch on

A recovery right after a takeover is the first to order anything in its epoch. The step of its hold was recorded before the epoch, and forgotten when the epoch was recorded, so that a later switch could have held the same step of an idle group while a release order for it was outstanding.

Both records set the epoch in one function now. The test uses the new argument, so it could not be run on the code before.

--- a/crates/fuchsiabay-gateway/src/groups/coordinator.rs
+++ b/crates/fuchsiabay-gateway/src/groups/coordinator.rs
@@ -307,7 +307,7 @@
             Timer::after(SWITCH_POLL_INTERVAL).await;
         } else {
             let lease = gateway.coordinator_lease();
-            history.record_holds(&group.name, orders.iter().map(|(_, order)| order));
+            history.record_holds(&group.name, group.epoch, orders.iter().map(|(_, order)| order));
             let replies = send_all(lease, engines, &group.ranks, group.epoch, orders).await;
             let now = monotonic_now();
             history.record(&group.name, group.epoch, now);
--- a/crates/fuchsiabay-gateway/src/groups/recovery.rs
+++ b/crates/fuchsiabay-gateway/src/groups/recovery.rs
@@ -49,7 +49,7 @@
                 "group: resolving an unfinished switch"
             );
         }
-        history.record_holds(group.name, orders.iter().map(|(_, order)| order));
+        history.record_holds(group.name, group.epoch, orders.iter().map(|(_, order)| order));
         let replies = send_all(lease, engines, group.ranks, group.epoch, orders).await;
         history.record(group.name, group.epoch, monotonic_now());
         let replies: Vec<_> = replies.into_iter().map(|(_, _, reply)| reply).collect();
--- a/crates/fuchsiabay-lockstep/src/order_history.rs
+++ b/crates/fuchsiabay-lockstep/src/order_history.rs
@@ -31,21 +31,26 @@
 impl OrderHistory {
     /// Records that orders for `epoch` of `group` were sent until `at`.
     pub fn record(&mut self, group: &str, epoch: u64, at: Timestamp) {
-        let orders = self.groups.entry(group.to_owned()).or_default();
-        if orders.epoch != epoch {
-            orders.held_step = 0;
-        }
-        (orders.epoch, orders.reported_from) = (epoch, at.plus_millis(REPORT_LAG_MS));
+        self.orders_in(group, epoch).reported_from = at.plus_millis(REPORT_LAG_MS);
     }
 
-    /// Records the steps that `orders` hold. They must be recorded as sent, too.
-    pub fn record_holds<'a>(&mut self, group: &str, orders: impl Iterator<Item = &'a Order>) {
+    /// Records the steps that `orders` for `epoch` of `group` hold, before the orders are sent.
+    pub fn record_holds<'a>(&mut self, group: &str, epoch: u64, orders: impl Iterator<Item = &'a Order>) {
         let held =
             orders.filter_map(|order| if let Order::Hold { step } = order { Some(*step) } else { None });
-        let orders = self.groups.entry(group.to_owned()).or_default();
+        let orders = self.orders_in(group, epoch);
         orders.held_step = held.fold(orders.held_step, u64::max);
     }
 
+    /// Returns the orders to `group`. Steps of another epoch than `epoch` are forgotten.
+    fn orders_in(&mut self, group: &str, epoch: u64) -> &mut GroupOrders {
+        let orders = self.groups.entry(group.to_owned()).or_default();
+        if orders.epoch != epoch {
+            (orders.epoch, orders.held_step) = (epoch, 0);
+        }
+        orders
+    }
+
     /// Returns the last step of `epoch` of `group` that this instance has ordered to hold. A release order for it may be
     /// executed seconds later, so it must not be held again.
     pub fn last_held_step(&self, group: &str, epoch: u64) -> u64 {
--- a/crates/fuchsiabay-lockstep/tests/order_history.rs
+++ b/crates/fuchsiabay-lockstep/tests/order_history.rs
@@ -1,7 +1,7 @@
 //! What a coordinator remembers of its orders.
 
 use fuchsiabay_base::Timestamp;
-use fuchsiabay_lockstep::{LeaseTerm, OrderHistory};
+use fuchsiabay_lockstep::{LeaseTerm, Order, OrderHistory};
 
 /// Guards against one version for two layouts, because no rank reports it while all copy their experts.
 #[test]
@@ -22,3 +22,14 @@
     let is_reported = |epoch, at| history.is_reported("g", epoch, Timestamp::from_millis(at));
     assert_eq!([is_reported(1, 1_499), is_reported(1, 1_500), is_reported(2, 1_000)], [false, true, true]);
 }
+
+/// Guards against a step that is held a second time in its epoch, so that a late release order for it takes effect.
+#[test]
+fn held_steps_are_known_from_the_first_order_on() {
+    let mut history = OrderHistory::default();
+    for (epoch, step) in [(3, 9), (4, 2)] {
+        history.record_holds("g", epoch, [Order::Hold { step }, Order::Release { step: 20 }].iter());
+        history.record("g", epoch, Timestamp::from_millis(1));
+        assert_eq!((history.last_held_step("g", epoch), history.last_held_step("g", epoch + 1)), (step, 0));
+    }
+}
--- a/crates/fuchsiabay-prove/src/lockstep_world.rs
+++ b/crates/fuchsiabay-prove/src/lockstep_world.rs
@@ -242,7 +242,7 @@
             if stage.is_empty() {
                 return;
             }
-            coordinator.history.record_holds(GROUP, stage.iter().map(|(_, order)| order));
+            coordinator.history.record_holds(GROUP, epoch, stage.iter().map(|(_, order)| order));
             coordinator.history.record(GROUP, epoch, Timestamp::from_millis(now_ms));
             let replies: Vec<_> =
                 stage.iter().map(|(rank, order)| self.send_order(*rank, epoch, order, now_ms)).collect();
@@ -317,7 +317,7 @@
         let now = Timestamp::from_millis(now_ms);
         switch.record_step(self.group.step);
         let orders = switch.poll(now);
-        coordinator.history.record_holds(GROUP, orders.iter().map(|(_, order)| order));
+        coordinator.history.record_holds(GROUP, epoch, orders.iter().map(|(_, order)| order));
         for (rank, order) in orders {
             let reply = self.send_order(rank, epoch, &order, now_ms);
             coordinator.history.record(GROUP, epoch, now);
--- a/crates/fuchsiabay-prove/tests/lockstep_switches.rs
+++ b/crates/fuchsiabay-prove/tests/lockstep_switches.rs
@@ -46,7 +46,7 @@
     /// Sends an order at `now_ms`. It may be lost or delayed until faults end.
     fn send(&mut self, rank: usize, order: &Order, now_ms: u64) -> OrderReply {
         let epoch = self.group.epoch;
-        self.history.record_holds(GROUP, std::iter::once(order));
+        self.history.record_holds(GROUP, epoch, std::iter::once(order));
         self.history.record(GROUP, epoch, Timestamp::from_millis(now_ms));
         if now_ms < FAULTS_END_MS && self.rng.u32(..100) < self.lost_percent {
             if self.rng.bool() {
