Log and count what the ledger of crashes counts, clears and releases

Nothing told that a loss counted as a crash, that a request is served although enough servers crashed under it because servers survived it, or that a quarantine ended early. The hypotheses of docs/incidents/request-ends-servers-in-bursts.md differ in exactly these.

--- a/crates/fuchsiabay-balancer/src/crashes/commands.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/commands.rs
@@ -148,9 +148,14 @@
                 self.revision += 1;
             }
         }
+        for (incarnation, crash) in &mut self.crashes {
+            if crash.count(now) {
+                let (incarnation, suspects) = (incarnation.clone(), crash.suspects.len());
+                self.events.push(CrashEvent::Counted { incarnation, suspects });
+            }
+        }
         let verdicts = Verdicts::of(self.crashes.values(), now);
-        let added = verdicts.added_since(&self.verdicts);
-        added.for_each(|quarantine| self.events.push(CrashEvent::Quarantined(quarantine)));
+        verdicts.events_since(&self.verdicts, now).for_each(|event| self.events.push(event));
         self.verdicts = verdicts;
     }
 
--- a/crates/fuchsiabay-balancer/src/crashes/crash.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/crash.rs
@@ -42,6 +42,8 @@
     pub(super) revision: Option<u64>,
     /// Whether something changed since that revision.
     pub(super) is_changed: bool,
+    /// Whether it was reported that the loss counts as a crash.
+    is_counted: bool,
 }
 
 impl Crash {
@@ -55,6 +57,7 @@
             suspects: Suspects::default(),
             revision: None,
             is_changed: true,
+            is_counted: false,
         }
     }
 
@@ -161,6 +164,17 @@
         self.lost_at.plus_millis(CONFIRMATION_MS)
     }
 
+    /// Records that the loss counts as a crash, if it does. Returns whether that was not recorded before.
+    pub(super) fn count(&mut self, now: Timestamp) -> bool {
+        let counts = self.counts(now);
+        counts && !std::mem::replace(&mut self.is_counted, true)
+    }
+
+    /// Returns whether the loss counts as a crash.
+    pub(super) fn counts(&self, now: Timestamp) -> bool {
+        !self.is_refuted && self.confirmed_at() <= now && self.expires_at() > now
+    }
+
     /// Returns whether it is not known yet whether the server crashed.
     pub(super) fn is_pending(&self, now: Timestamp) -> bool {
         !self.is_refuted && self.confirmed_at() > now
--- a/crates/fuchsiabay-balancer/src/crashes/event.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/event.rs
@@ -1,5 +1,7 @@
 //! What the ledger learned, for logs and metrics.
 
+use fuchsiabay_base::Fingerprint;
+
 use super::{Incarnation, Quarantine};
 
 /// The maximum number of events that are kept until they are taken. The oldest ones are dropped.
@@ -22,8 +24,26 @@
         /// The number of suspects that were not kept.
         suspects: usize,
     },
+    /// A server has not responded for so long after the loss of its connections that it counts as crashed.
+    Counted {
+        /// The server.
+        incarnation: Incarnation,
+        /// The number of suspects of its crash.
+        suspects: usize,
+    },
     /// Something is refused from now on.
     Quarantined(Quarantine),
+    /// Something that was refused is served again before its quarantine has ended.
+    Released(Quarantine),
+    /// A request is served although enough servers crashed under it, because servers survived it.
+    Cleared {
+        /// The request.
+        fingerprint: Fingerprint,
+        /// The number of crashes under it.
+        crashes: u32,
+        /// How often servers survived it, as far as this instance knows.
+        survivals: u32,
+    },
 }
 
 /// The events that have not been taken yet.
--- a/crates/fuchsiabay-balancer/src/crashes/verdicts.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/verdicts.rs
@@ -4,7 +4,7 @@
 
 use fuchsiabay_base::{Fingerprint, Timestamp};
 
-use super::{Quarantine, crash::Crash, suspect::WHOLE_REQUEST_DEPTH, suspects::Suspicion};
+use super::{CrashEvent, Quarantine, crash::Crash, suspect::WHOLE_REQUEST_DEPTH, suspects::Suspicion};
 
 /// The number of crashes at which a suspect is quarantined. A crash affects every request on the server, so fewer crashes do
 /// not identify the cause.
@@ -26,6 +26,8 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Verdicts {
     quarantines: HashMap<Fingerprint, Quarantine>,
+    /// The whole requests that are served although enough servers crashed under them.
+    cleared: HashMap<Fingerprint, Cleared>,
     /// When the verdicts must be determined again.
     next_evaluation: Option<Timestamp>,
 }
@@ -38,9 +40,8 @@
         let due = crashes.clone().flat_map(|crash| [crash.told_at(), crash.confirmed_at()]);
         let next_evaluation = due.filter(|at| *at > now).min();
         let mut verdicts = Self { next_evaluation, ..Self::default() };
-        let is_confirmed =
-            |crash: &&Crash| !crash.is_refuted && crash.confirmed_at() <= now && crash.expires_at() > now;
-        let mut unexplained: Vec<&Crash> = crashes.filter(is_confirmed).collect();
+        let mut unexplained: Vec<&Crash> = crashes.filter(|crash| crash.counts(now)).collect();
+        verdicts.cleared = cleared_requests(&unexplained);
         let requests = conclusive_tallies(&unexplained).filter(|(_, tally)| tally.is_request());
         requests.for_each(|(fingerprint, tally)| verdicts.add(fingerprint, tally));
         while let Some((fingerprint, tally)) =
@@ -65,10 +66,25 @@
         self.quarantines.values()
     }
 
-    /// Returns what is quarantined, but was not according to `previous`.
-    pub(super) fn added_since<'a>(&'a self, previous: &'a Self) -> impl Iterator<Item = Quarantine> + 'a {
-        let is_new = |quarantine: &&Quarantine| !previous.quarantines.contains_key(&quarantine.fingerprint);
-        self.iter().filter(is_new).copied()
+    /// Returns what changed since `previous`, as of `now`.
+    pub(super) fn events_since<'a>(
+        &'a self,
+        previous: &'a Self,
+        now: Timestamp,
+    ) -> impl Iterator<Item = CrashEvent> + 'a {
+        let added = self.iter().filter(|one| !previous.quarantines.contains_key(&one.fingerprint));
+        let is_released =
+            move |one: &&Quarantine| one.until > now && !self.quarantines.contains_key(&one.fingerprint);
+        let released = previous.iter().filter(is_released);
+        let cleared =
+            self.cleared.iter().filter(|(fingerprint, _)| !previous.cleared.contains_key(*fingerprint));
+        let cleared = cleared.map(|(fingerprint, Cleared { crashes, survivals })| CrashEvent::Cleared {
+            fingerprint: *fingerprint,
+            crashes: *crashes,
+            survivals: *survivals,
+        });
+        let added = added.copied().map(CrashEvent::Quarantined);
+        added.chain(released.copied().map(CrashEvent::Released)).chain(cleared)
     }
 
     /// Has the verdicts determined again soon.
@@ -82,6 +98,30 @@
     }
 }
 
+/// A whole request that is served although enough servers crashed under it.
+#[derive(Clone, Copy, Debug)]
+struct Cleared {
+    crashes: u32,
+    survivals: u32,
+}
+
+/// Returns the whole requests under which enough servers crashed, but that are cleared in some of these crashes.
+fn cleared_requests(crashes: &[&Crash]) -> HashMap<Fingerprint, Cleared> {
+    let mut cleared: HashMap<Fingerprint, Cleared> = HashMap::new();
+    let mut open: HashMap<Fingerprint, u32> = HashMap::new();
+    let requests = crashes.iter().flat_map(|crash| crash.suspects.iter()).filter(|(_, one)| one.is_request());
+    for (fingerprint, suspicion) in requests {
+        let entry = cleared.entry(*fingerprint).or_insert(Cleared { crashes: 0, survivals: 0 });
+        entry.crashes += 1;
+        entry.survivals = entry.survivals.max(suspicion.survivals);
+        *open.entry(*fingerprint).or_default() += u32::from(!suspicion.is_cleared);
+    }
+    cleared.retain(|fingerprint, one| {
+        one.crashes >= QUARANTINE_THRESHOLD && open[fingerprint] < QUARANTINE_THRESHOLD
+    });
+    cleared
+}
+
 /// The crashes under one suspect.
 #[derive(Clone, Copy, Debug)]
 struct Tally {
--- a/crates/fuchsiabay-gateway/src/crash_events.rs
+++ b/crates/fuchsiabay-gateway/src/crash_events.rs
@@ -13,10 +13,22 @@
             count("dropped", *suspects);
             log::warn!(server:% = incarnation, suspects; "crash: too many suspects, some were dropped");
         }
+        CrashEvent::Counted { incarnation, suspects } => {
+            metrics::counter!("fuchsiabay_crashes_total").increment(1);
+            log::info!(server:% = incarnation, suspects; "crash: counted");
+        }
         CrashEvent::Quarantined(quarantine) => {
             count("quarantined", 1);
             log::info!(fingerprint:% = quarantine.fingerprint, crashes = quarantine.crashes; "crash: quarantined");
         }
+        CrashEvent::Released(quarantine) => {
+            count("released", 1);
+            log::info!(fingerprint:% = quarantine.fingerprint, crashes = quarantine.crashes; "crash: released");
+        }
+        CrashEvent::Cleared { fingerprint, crashes, survivals } => {
+            count("cleared", 1);
+            log::info!(fingerprint:%, crashes, survivals; "crash: cleared, servers survived the request");
+        }
     }
 }
 
