--- a/crates/fuchsiabay-gateway/tests/crash_containment.rs
+++ b/crates/fuchsiabay-gateway/tests/crash_containment.rs
@@ -15,7 +15,7 @@
 use smol::Timer;
 use support::{
     Harness,
-    crashing::{BAD, BAD_LATE, CrashingFleet, Ending, SLOW},
+    crashing::{BAD, BAD_COPIES, BAD_LATE, CrashingFleet, Ending, SLOW},
     harness::config,
     platform::FakePlatform,
 };
@@ -33,6 +33,10 @@
 /// How long requests are sent.
 const RUN: Duration = Duration::from_millis(10_000);
 
+/// The pause between two sound copies of a bad request, and the time for which they are sent before it turns bad.
+const COPY_PAUSE: Duration = Duration::from_millis(250);
+const SOUND_BEFORE: Duration = Duration::from_millis(2_500);
+
 /// The shared first parts of the prompts. Sound and bad requests use the same ones.
 const FIRST_PARTS: usize = 3;
 
@@ -50,6 +54,8 @@
     ending: Ending,
     /// The services among which the route divides its requests.
     services: &'static [&'static str],
+    /// Whether sound requests with the same path, caller and body are sent before and beside the bad ones.
+    has_sound_copies: bool,
 }
 
 const BAD_PART: Case = Case {
@@ -59,6 +65,7 @@
     free_crashes: 5,
     ending: Ending::Closes,
     services: &["s"],
+    has_sound_copies: false,
 };
 const BAD_FIRST_PART: Case = Case { make: bad_first_part, ..BAD_PART };
 /// So rare that an instance that counts for itself learns the cause late.
@@ -73,6 +80,13 @@
     Case { make: bad_late_body, pause: Duration::from_millis(500), ..BAD_BODY };
 const BAD_BODY_AND_SILENCE: Case =
     Case { pause: Duration::from_millis(500), ending: Ending::FallsSilent, ..BAD_BODY };
+const BAD_COPY: Case = Case {
+    make: bad_copy,
+    pause: Duration::from_millis(500),
+    instances: 3,
+    has_sound_copies: true,
+    ..BAD_BODY
+};
 
 /// Starts entry instances that know each other, in front of the same servers.
 async fn start(case: Case) -> (CrashingFleet, Vec<Harness>) {
@@ -127,6 +141,10 @@
     request(&format!("b{n}"), "", BAD_LATE)
 }
 
+fn bad_copy(n: usize) -> String {
+    request(&format!("b{n}"), "", BAD_COPIES)
+}
+
 /// Sends sound requests that share their caller and their first part with the bad ones. Returns for each one when it was sent
 /// and whether it was served.
 async fn send_sound(harnesses: &[Harness], started: Instant) -> Vec<(Instant, bool)> {
@@ -146,6 +164,9 @@
 }
 
 async fn send_bad(harnesses: &[Harness], started: Instant, case: Case) {
+    if case.has_sound_copies {
+        Timer::after(SOUND_BEFORE).await;
+    }
     let mut n = 0;
     while started.elapsed() < RUN {
         let mut caller = harnesses[n % harnesses.len()].caller().await;
@@ -156,12 +177,27 @@
     }
 }
 
+/// Sends sound requests with the same path, caller and body as the bad ones.
+async fn send_copies(harnesses: &[Harness], started: Instant, case: Case) {
+    let mut n = 0;
+    while case.has_sound_copies && started.elapsed() < RUN {
+        let mut caller = harnesses[n % harnesses.len()].caller().await;
+        let req = request(&format!("c{n}"), "", BAD_COPIES);
+        smol::spawn(async move { caller.round_trip(req.as_bytes()).await }).detach();
+        Timer::after(COPY_PAUSE).await;
+        n += 1;
+    }
+}
+
 /// Checks how many bad requests reach servers once the system must know the cause, and that sound requests are served.
 async fn check(case: Case) {
     let (fleet, harnesses) = start(case).await;
     let started = Instant::now();
-    let (results, ()) =
-        futures_lite::future::zip(send_sound(&harnesses, started), send_bad(&harnesses, started, case)).await;
+    let bad = futures_lite::future::zip(
+        send_bad(&harnesses, started, case),
+        send_copies(&harnesses, started, case),
+    );
+    let (results, _) = futures_lite::future::zip(send_sound(&harnesses, started), bad).await;
     let crashes = fleet.crashes();
     let last_free = crashes.get(case.free_crashes - 1).or(crashes.last()).copied().expect("a crash");
     let late = fleet.bad_arrivals().iter().filter(|at| **at > last_free + CONTACT).count();
@@ -188,6 +224,8 @@
     repeated_request_stops_crashing_servers_late(BAD_BODY_AND_LATE_CRASH);
     /// Guards against attempts that end by their deadline and leave no evidence.
     repeated_request_stops_silencing_servers(BAD_BODY_AND_SILENCE);
+    /// Guards against a request that is cleared because servers survived other requests with the same path, caller and body.
+    repeated_request_with_sound_copies_stops_crashing_servers(BAD_COPY);
 }
 
 /// Sends a request to the route of streams that are not resumed, without waiting for the response.
--- a/crates/fuchsiabay-gateway/tests/support/crashing.rs
+++ b/crates/fuchsiabay-gateway/tests/support/crashing.rs
@@ -29,6 +29,9 @@
 pub const BAD_LATE: &str = "bad late";
 const LATE_CRASH_DELAY: Duration = Duration::from_millis(650);
 
+/// The body of requests of which only those crash the server whose id begins with `b`.
+pub const BAD_COPIES: &str = "copies";
+
 /// The body of a request whose events have long pauses.
 pub const SLOW: &str = "slow";
 
@@ -206,7 +209,9 @@
 
 fn is_bad(req: &Received) -> bool {
     let is_bad_body = [BAD, BAD_LATE].iter().any(|bad| req.body == bad.as_bytes());
-    req.header("x-parts").unwrap_or_default().contains(BAD) || is_bad_body
+    let is_bad_copy =
+        req.body == BAD_COPIES.as_bytes() && req.header("x-call").is_some_and(|id| id.starts_with('b'));
+    req.header("x-parts").unwrap_or_default().contains(BAD) || is_bad_body || is_bad_copy
 }
 
 /// Streams all events, or only those before the crash if the request is bad.
