Count the crashes that a new instance is told of at once

An instance that has just started served requests for up to 100 ms after its neighbours had told it of the crashes under them: the verdicts were determined later, as for losses that are being discovered. Crashes that count already are now judged when they are told, before the configuration of the same reply is applied.

crashes_count_at_once_at_an_instance_that_has_just_started failed before.

--- a/crates/fuchsiabay-balancer/src/crashes/commands.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/commands.rs
@@ -204,6 +204,7 @@
             return;
         }
         let lost_at = now.minus_millis(report.age_ms);
+        let is_new = !self.crashes.contains_key(server);
         let crash = self.crashes.entry(server.clone()).or_insert_with(|| Crash::new(lost_at, lost_at));
         if crash.is_refuted {
             *crash = Crash::new(lost_at, lost_at);
@@ -211,6 +212,10 @@
         crash.add_loss(lost_at, lost_at);
         let is_dropped = |suspect: &&ReportedSuspect| !crash.merge(suspect.fingerprint, (*suspect).into());
         let dropped = report.suspects.iter().filter(is_dropped).count();
+        // An instance that has just started is told of crashes that count already.
+        if is_new && crash.counts(now) {
+            self.verdicts.request_evaluation_at(now);
+        }
         if let Some(alive_at) = self.alive_at.get(server).copied().filter(|at| crash.is_refuted_by(*at)) {
             crash.request_publication();
             self.record_alive(server, alive_at, now);
--- a/crates/fuchsiabay-balancer/src/crashes/verdicts.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/verdicts.rs
@@ -183,7 +183,11 @@
 
     /// Has the verdicts determined again soon.
     pub(super) fn request_evaluation(&mut self, now: Timestamp) {
-        let at = now.plus_millis(EVALUATION_DELAY_MS);
+        self.request_evaluation_at(now.plus_millis(EVALUATION_DELAY_MS));
+    }
+
+    /// Has the verdicts determined again at `at`, or before.
+    pub(super) fn request_evaluation_at(&mut self, at: Timestamp) {
         self.next_evaluation = Some(self.next_evaluation.map_or(at, |next| next.min(at)));
     }
 
--- a/crates/fuchsiabay-balancer/tests/crash_exchange.rs
+++ b/crates/fuchsiabay-balancer/tests/crash_exchange.rs
@@ -112,6 +112,19 @@
     assert!(is_refused(&mut instances.0[1].0, &suspects("g,bad,new", "new"), 43_500));
 }
 
+/// Guards against an instance that has just started and serves a request before the crashes that it was told of count.
+#[test]
+fn crashes_count_at_once_at_an_instance_that_has_just_started() {
+    let mut instances = Instances::new(2);
+    let bad = suspects("", "bad");
+    (0..3).for_each(|n| instances.0[0].0.record_loss(&server(n), &bad, at(4_000 * n), at(4_000 * n)));
+    instances.exchange(1, 10_000);
+    instances.0[1].0 = CrashLedger::default();
+    instances.0[0].1[1] = 0;
+    instances.send(0, 1, 12_000);
+    assert!(is_refused(&mut instances.0[1].0, &bad, 12_000));
+}
+
 /// Guards against an instance that refuses a sound part because only other instances have seen that servers survive it.
 #[test]
 fn survivals_at_one_instance_clear_a_part_at_all() {
