Tell a new instance of crashes before refuted losses

A message holds at most 16 crashes, the oldest changes first. After a group was cut off, these were losses that had been refuted, so an instance that had just started was told of the real crashes one or more rounds of 250 ms later and served the requests under them meanwhile. An instance that was told nothing needs no refutations; they are left out of its first messages.

instance_that_has_just_started_is_told_of_crashes_first failed before.

--- a/crates/fuchsiabay-balancer/src/crashes/queries.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/queries.rs
@@ -35,6 +35,10 @@
     pub fn changes_since(&self, since: u64, now: Timestamp) -> (u64, Vec<CrashReport>) {
         let changed = self.crashes.iter().filter_map(|(incarnation, crash)| {
             let revision = crash.revision.filter(|revision| *revision > since && crash.expires_at() > now)?;
+            // An instance that was told nothing needs no refutations.
+            if since == 0 && crash.is_refuted {
+                return None;
+            }
             let alive_at = self.alive_at.get(incarnation).copied();
             Some((revision, CrashReport::new(incarnation, crash, alive_at, now)))
         });
--- a/crates/fuchsiabay-balancer/tests/crash_exchange.rs
+++ b/crates/fuchsiabay-balancer/tests/crash_exchange.rs
@@ -125,6 +125,23 @@
     assert!(is_refused(&mut instances.0[1].0, &bad, 12_000));
 }
 
+/// Guards against an instance that has just started and is told of many losses that were refuted before it is told of a crash.
+#[test]
+fn instance_that_has_just_started_is_told_of_crashes_first() {
+    let mut instances = Instances::new(2);
+    let bad = suspects("", "bad");
+    for rank in 100..200 {
+        let ledger = &mut instances.0[0].0;
+        ledger.record_loss(&server(rank), &suspects("", &format!("{rank}")), at(0), at(0));
+        ledger.advance(at(450));
+    }
+    (100..200).for_each(|rank| instances.0[0].0.record_report(&server(rank), at(600), at(610)));
+    instances.0[0].0.advance(at(800));
+    (0..3).for_each(|n| instances.0[0].0.record_loss(&server(n), &bad, at(4_000 * n), at(4_000 * n)));
+    instances.send(0, 1, 12_000);
+    assert!(is_refused(&mut instances.0[1].0, &bad, 12_100));
+}
+
 /// Guards against an instance that refuses a sound part because only other instances have seen that servers survive it.
 #[test]
 fn survivals_at_one_instance_clear_a_part_at_all() {
