Do not refute a crash by a response of the same millisecond

A response to a request that was sent in the millisecond in which a connection was lost refuted the crash. Within one availability zone, a server answers within that time and may crash after it. The request must have been sent later than the loss.

response_to_a_request_of_the_same_millisecond_does_not_refute_a_crash failed before.

--- a/crates/fuchsiabay-balancer/src/crashes/crash.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/crash.rs
@@ -139,9 +139,10 @@
         true
     }
 
-    /// Returns whether an answer of the same process to something sent at `sent_at` shows that it did not crash.
+    /// Returns whether an answer of the same process to something sent at `sent_at` shows that it did not crash. It may have
+    /// answered in the millisecond in which it crashed.
     pub(super) fn is_refuted_by(&self, sent_at: Timestamp) -> bool {
-        sent_at >= self.last_lost_at
+        sent_at > self.last_lost_at
     }
 
     /// Returns whether connections were lost after `begun_at`.
--- a/crates/fuchsiabay-balancer/tests/crashes.rs
+++ b/crates/fuchsiabay-balancer/tests/crashes.rs
@@ -261,6 +261,19 @@
     assert!(is_refused(&mut ledger, &bad, 6_000 + CONFIRMED_MS));
 }
 
+/// Guards against a crash that is refuted by a response that the server sent in the same millisecond, before it crashed.
+#[test]
+fn response_to_a_request_of_the_same_millisecond_does_not_refute_a_crash() {
+    let mut ledger = CrashLedger::default();
+    let bad = suspects("", "bad");
+    for crash in 0..3 {
+        let lost_at = 3_000 * crash + 100;
+        ledger.record_loss(&server(crash), &bad, at(lost_at - 50), at(lost_at));
+        ledger.record_response(&server(crash), at(lost_at - 90), at(lost_at), at(lost_at));
+    }
+    assert!(is_refused(&mut ledger, &bad, 6_100 + CONFIRMED_MS));
+}
+
 /// Guards against a request that is refused because its connections were reset, while the servers went on with others.
 #[test]
 fn response_on_an_older_connection_refutes_a_crash() {
