Report requests as cleared only if nothing else explains their crashes

Each request is known by two fingerprints, with and without its service. One was reported as cleared while the other one was refused.

--- a/crates/fuchsiabay-balancer/src/crashes/event.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/event.rs
@@ -35,8 +35,8 @@
     Quarantined(Quarantine),
     /// Something that was refused is served again before its quarantine has ended.
     Released(Quarantine),
-    /// A request is served although enough servers crashed under it, because servers run and survive it so often that chance, or
-    /// another request, explains these crashes.
+    /// A request is served although enough servers crashed under it, because servers run and survive it so often that chance
+    /// explains these crashes.
     Cleared {
         /// The request.
         fingerprint: Fingerprint,
--- a/crates/fuchsiabay-balancer/src/crashes/verdicts.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/verdicts.rs
@@ -59,29 +59,21 @@
         let mut verdicts = Self { next_evaluation, ..Self::default() };
         let counted: Vec<&Crash> = crashes.clone().filter(|crash| crash.counts(now)).collect();
         let pending: Vec<&Crash> = crashes.filter(|crash| crash.is_pending(now)).collect();
-        verdicts.add_unsurvived_requests(&counted, &occupancy);
-        verdicts.add_survived_requests(&counted, &pending, &occupancy, previous);
+        let (unsurvived, survived): (Vec<_>, Vec<_>) =
+            conclusive_requests(&counted).partition(|(fingerprint, _)| occupancy(fingerprint).is_zero());
+        for (fingerprint, tally) in unsurvived {
+            verdicts.add(fingerprint, tally, tally.expires_at);
+        }
+        if !survived.is_empty() {
+            verdicts.add_survived_requests(&counted, &pending, &occupancy, previous);
+        }
         verdicts.add_parts(&counted);
-        verdicts.cleared = verdicts.cleared_requests(&counted, &occupancy);
         verdicts
     }
 
-    /// Quarantines the whole requests that no server has survived.
-    fn add_unsurvived_requests(
-        &mut self,
-        crashes: &[&Crash],
-        occupancy: &impl Fn(&Fingerprint) -> Occupancy,
-    ) {
-        for (fingerprint, tally) in conclusive_requests(crashes) {
-            if occupancy(&fingerprint).is_zero() {
-                self.add(fingerprint, tally, tally.expires_at);
-            }
-        }
-    }
-
     /// Quarantines the fewest of the other whole requests that explain the remaining crashes: first the one that is the least
-    /// likely to run on these servers by chance. Once enough crashes count, a further server that is lost under a request is
-    /// taken into account at once.
+    /// likely to run on these servers by chance. Those that may have are cleared. Once enough crashes count, a further server
+    /// that is lost under a request is taken into account at once.
     fn add_survived_requests(
         &mut self,
         counted: &[&Crash],
@@ -108,11 +100,15 @@
             });
             let least_likely = likely.min_by(|a, b| a.0.total_cmp(&b.0).then_with(|| a.1.cmp(&b.1)));
             let Some((_, fingerprint, tally)) = least_likely else {
-                return;
+                break;
             };
             self.add(fingerprint, tally, survived_until(&tally));
             unexplained.retain(|crash| !crash.is_suspect(&fingerprint));
         }
+        let cleared = conclusive_requests(&unexplained).map(|(fingerprint, Tally { crashes, .. })| {
+            (fingerprint, Cleared { crashes, occupancy: occupancy(&fingerprint) })
+        });
+        self.cleared = cleared.collect();
     }
 
     /// Quarantines the fewest parts of prompts that explain the crashes: the one with the most crashes first, then the one with
@@ -139,18 +135,6 @@
         self.quarantines.entry(fingerprint).or_insert(quarantine);
     }
 
-    fn cleared_requests(
-        &self,
-        crashes: &[&Crash],
-        occupancy: &impl Fn(&Fingerprint) -> Occupancy,
-    ) -> HashMap<Fingerprint, Cleared> {
-        let is_served = |(fingerprint, _): &(Fingerprint, Tally)| !self.quarantines.contains_key(fingerprint);
-        let cleared = conclusive_requests(crashes).filter(is_served).map(|(fingerprint, tally)| {
-            (fingerprint, Cleared { crashes: tally.crashes, occupancy: occupancy(&fingerprint) })
-        });
-        cleared.collect()
-    }
-
     pub(super) fn get(&self, fingerprint: &Fingerprint, now: Timestamp) -> Option<Quarantine> {
         self.quarantines.get(fingerprint).filter(|quarantine| quarantine.until > now).copied()
     }
