Tell the neighbours of the loss of a server at once

An instance that was killed within 350 ms of a crash took along what it alone had seen, so a request crashed one server more: the loss was told 100 ms later, in the next of the rounds of 250 ms, and only by the instance with the lower address. The loss of one or two servers is now told at once, by the instance that saw it, to up to eight neighbours. A group that is cut off is told as before, because most of its losses are refuted.

--- a/crates/fuchsiabay-balancer/src/crashes/commands.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/commands.rs
@@ -24,10 +24,6 @@
 /// instances tell each other of its loss, within this time.
 const SERVER_STATE_MS: u64 = 60_000;
 
-/// The number of servers up to which a loss of connections is told at once, so that it is not forgotten if this instance ends. A
-/// group that is cut off loses more of them at the same time, and most of these losses are refuted soon.
-const MAX_SINGLE_LOSSES: usize = 2;
-
 /// The time without any sign of a server after which an attempt that is given up counts as lost, in milliseconds. The ranks of
 /// a group stall for as long after one of them has crashed.
 const SILENCE_MS: u64 = 1_500;
@@ -51,6 +47,9 @@
         let dropped = crash.add(suspects) + given_up.map(|suspects| crash.add(&suspects)).sum::<usize>();
         self.report_dropped(server, dropped);
         self.limit_crashes();
+        if self.tells_at_once(now) {
+            self.verdicts.request_evaluation_at(now);
+        }
         self.verdicts.request_evaluation(now);
     }
 
@@ -160,8 +159,7 @@
         if !self.verdicts.is_evaluation_due(now) {
             return;
         }
-        let pending = self.crashes.values().filter(|crash| crash.is_pending(now)).count();
-        let is_single = pending <= MAX_SINGLE_LOSSES;
+        let is_single = self.tells_at_once(now);
         for crash in self.crashes.values_mut() {
             crash.record_survivals(ENOUGH_SURVIVALS, |fingerprint| self.survivals.count(fingerprint, now));
             if crash.publish(self.revision + 1, is_single, now) {
--- a/crates/fuchsiabay-balancer/src/crashes/queries.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/queries.rs
@@ -12,6 +12,10 @@
 /// crash on top, it stays below the limit of 1 MiB.
 const MAX_REPORTED_SUSPECTS: usize = 4_096;
 
+/// The number of servers up to which a loss of connections is told at once, so that it is not forgotten if this instance ends. A
+/// group that is cut off loses more of them at the same time, and most of these losses are refuted soon.
+const MAX_SINGLE_LOSSES: usize = 2;
+
 /// Why a request is refused.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 #[derive(Serialize)]
@@ -31,6 +35,16 @@
         quarantines.max_by_key(|quarantine| quarantine.crashes)
     }
 
+    /// Returns whether so few servers were lost recently that other instances are told at once.
+    pub fn tells_at_once(&self, now: Timestamp) -> bool {
+        self.crashes.values().filter(|crash| crash.is_pending(now)).count() <= MAX_SINGLE_LOSSES
+    }
+
+    /// Returns the number of servers that crashed recently, or whose loss was not refuted yet.
+    pub fn lost_servers(&self) -> usize {
+        self.crashes.values().filter(|crash| !crash.is_refuted).count()
+    }
+
     /// Returns what changed after the revision `since`, for another instance, and the revision up to which that is complete.
     pub fn changes_since(&self, since: u64, now: Timestamp) -> (u64, Vec<CrashReport>) {
         let changed = self.crashes.iter().filter_map(|(incarnation, crash)| {
--- a/crates/fuchsiabay-balancer/src/neighbours/table.rs
+++ b/crates/fuchsiabay-balancer/src/neighbours/table.rs
@@ -181,6 +181,13 @@
         called_readers.iter().copied().chain(in_turn).collect()
     }
 
+    /// Returns neighbours to call at once with what must not be lost if this instance ends, whoever calls otherwise.
+    pub fn next_urgent_calls(&self) -> Vec<SocketAddr> {
+        let addrs = self.addrs();
+        let start = addrs.partition_point(|addr| *addr < self.own_addr);
+        (0..addrs.len().min(CALLS_PER_ROUND)).map(|i| addrs[(start + i) % addrs.len()]).collect()
+    }
+
     /// Returns the number of requests of all neighbours at each server, and the number of neighbours that reported.
     pub fn loads(&self, now: Timestamp) -> (HashMap<InstanceId, u32>, usize) {
         let mut sum: HashMap<InstanceId, u32> = HashMap::new();
--- a/crates/fuchsiabay-balancer/tests/repeated_requests.rs
+++ b/crates/fuchsiabay-balancer/tests/repeated_requests.rs
@@ -86,8 +86,9 @@
     /// The incarnations that it has read from the directory.
     known: Vec<Option<Incarnation>>,
     started_at: u64,
-    /// When it last saw the bad request end.
+    /// When it last saw the bad request end, and whether it has to tell the others of it at once.
     saw_crash_at: u64,
+    tells: bool,
     /// Until when it is cut off from the other instances, and from one server.
     cut_until: u64,
     server_cut: (usize, u64),
@@ -279,7 +280,7 @@
         state.runs = silent;
         for run in ended {
             let instance = &mut self.instances[run.instance];
-            instance.saw_crash_at = ms;
+            (instance.saw_crash_at, instance.tells) = (ms, true);
             let ledger = &mut instance.ledger;
             let (incarnation, begun_at) = (&state.incarnation, at(run.begun_at));
             if is_silent {
@@ -312,7 +313,8 @@
                 }
             }
         }
-        if !ms.is_multiple_of(EXCHANGE_MS) || ms < state.cut_until {
+        let tells = std::mem::take(&mut state.tells) && state.ledger.tells_at_once(at(ms));
+        if !ms.is_multiple_of(EXCHANGE_MS) && !tells || ms < state.cut_until {
             return;
         }
         for to in (0..INSTANCES).filter(|to| *to != instance) {
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -28,6 +28,7 @@
     longest_deadlines::LongestDeadlines,
     neighbours::{CrashUpdate, DirectoryUpdate, ExchangeReply},
     shard::ServiceShard,
+    signal::Signal,
 };
 
 /// The shared state. Each service has a shard with its own lock.
@@ -59,6 +60,8 @@
     open_connections: AtomicUsize,
     running_requests: AtomicUsize,
     instances: AtomicUsize,
+    /// Sent when the neighbours must be told at once of the loss of a server.
+    pub(crate) loss_signal: Signal,
 }
 
 impl Gateway {
@@ -86,6 +89,7 @@
             open_connections: AtomicUsize::new(0),
             running_requests: AtomicUsize::new(0),
             instances: AtomicUsize::new(1),
+            loss_signal: Signal::default(),
         }
     }
 
@@ -368,6 +372,7 @@
             "connections": self.open_connections.load(Ordering::Relaxed),
             "running_requests": self.running_requests(),
             "pools": pools,
+            "lost_servers": self.crashes().lost_servers(),
             "quarantines": self.crashes().quarantines(monotonic_now()),
         })
     }
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -32,6 +32,7 @@
 mod request_metrics;
 mod settings;
 mod shard;
+mod signal;
 mod signals;
 mod source;
 
--- a/crates/fuchsiabay-gateway/src/neighbours/exchange.rs
+++ b/crates/fuchsiabay-gateway/src/neighbours/exchange.rs
@@ -1,11 +1,11 @@
 //! Periodic calls to the neighbours.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{net::SocketAddr, sync::Arc};
 
 use fuchsiabay_balancer::{IndexedConfig, SharedState};
 use fuchsiabay_base::Timestamp;
-use fuchsiabay_runtime::monotonic_now;
-use smol::Timer;
+use fuchsiabay_runtime::{monotonic_now, sleep_until};
+use futures_lite::FutureExt;
 
 use super::{
     connections::NeighbourConnections,
@@ -13,8 +13,8 @@
 };
 use crate::{coordinator_lease::boot_now, gateway::Gateway};
 
-/// Interval between rounds of calls. Older loads say little about requests that last one to two seconds.
-const ROUND_INTERVAL: Duration = Duration::from_millis(250);
+/// Interval between rounds of calls, in milliseconds. Older loads say little about requests that last one to two seconds.
+const ROUND_INTERVAL_MS: u64 = 250;
 
 /// Timeout of a call, in milliseconds.
 const CALL_TIMEOUT_MS: u64 = 400;
@@ -28,6 +28,7 @@
     let own_addr = gateway.settings.peer_listen;
     call_seeds(&gateway, &mut connections, &seeds).await;
     loop {
+        let next_round_at = monotonic_now().plus_millis(ROUND_INTERVAL_MS);
         let is_stale = gateway.is_stale();
         // Seeds may be outdated, so they are called only while this instance has no current data.
         if is_stale {
@@ -42,10 +43,28 @@
         if reporting_neighbours > 0 {
             gateway.shards().iter().for_each(|shard| shard.set_neighbour_loads(&loads));
         }
-        Timer::after(ROUND_INTERVAL).await;
+        while wait_for_loss(&gateway, next_round_at).await {
+            let callees = gateway.neighbours().next_urgent_calls();
+            for addr in callees {
+                call(&gateway, &mut connections, own_addr, addr).await;
+            }
+        }
     }
 }
 
+/// Waits until the loss of a server must be told, and returns true, or until `until`, and returns false.
+async fn wait_for_loss(gateway: &Gateway, until: Timestamp) -> bool {
+    let lost = async {
+        gateway.loss_signal.wait().await;
+        true
+    };
+    let passed = async {
+        sleep_until(until).await;
+        false
+    };
+    passed.or(lost).await
+}
+
 /// Calls all seeds once, each as soon as it is connected.
 async fn call_seeds(gateway: &Gateway, connections: &mut NeighbourConnections, seeds: &[SocketAddr]) {
     let began_at = monotonic_now();
--- a/crates/fuchsiabay-gateway/src/request/running_attempt.rs
+++ b/crates/fuchsiabay-gateway/src/request/running_attempt.rs
@@ -82,7 +82,7 @@
         let now = monotonic_now();
         let suspects = self.unfinished(now);
         self.request.gateway.crashes().record_loss(&self.server, &suspects, self.begun_at, now);
-        self.log_suspected("connection lost", now);
+        self.report_suspected("connection lost", now);
     }
 
     fn give_up(&self) {
@@ -95,7 +95,7 @@
         drop(crashes);
         if is_suspected {
             self.request.shard.request_group_check();
-            self.log_suspected("given up", now);
+            self.report_suspected("given up", now);
         }
     }
 
@@ -111,7 +111,10 @@
         requests.into()
     }
 
-    fn log_suspected(&self, end: &'static str, now: Timestamp) {
+    fn report_suspected(&self, end: &'static str, now: Timestamp) {
+        if self.request.gateway.crashes().tells_at_once(now) {
+            self.request.gateway.loss_signal.send();
+        }
         log::info!(
             request = self.request.request_id, server:% = self.server, end,
             silent_ms = now.millis_since(self.last_sign_at), prompt_parts = self.request.prompt_parts();
--- a/crates/fuchsiabay-gateway/tests/crash_containment.rs
+++ b/crates/fuchsiabay-gateway/tests/crash_containment.rs
@@ -12,6 +12,8 @@
 
 use fuchsiabay_balancer::Target;
 use fuchsiabay_base::ServiceName;
+use fuchsiabay_gateway::HttpClient;
+use fuchsiabay_runtime::monotonic_now;
 use smol::Timer;
 use support::{
     Harness,
@@ -30,6 +32,11 @@
 /// The number of bad requests that may reach servers after that.
 const MAX_LATE_ARRIVALS: usize = 3;
 
+/// The time within which the other instances must know of a loss, below the interval of 250 ms of their exchanges, and the number of
+/// losses after which it is checked.
+const TOLD: Duration = Duration::from_millis(100);
+const LOSSES: usize = 6;
+
 /// How long requests are sent.
 const RUN: Duration = Duration::from_millis(10_000);
 
@@ -228,6 +235,34 @@
     repeated_request_with_sound_copies_stops_crashing_servers(BAD_COPY);
 }
 
+/// Returns how many servers an instance takes for lost.
+async fn lost_servers(harness: &Harness) -> u64 {
+    let mut client = HttpClient::new(harness.gateway.ops_addr());
+    let response = client.get("/state", monotonic_now().plus_millis(2_000)).await.expect("a response");
+    let state: serde_json::Value = serde_json::from_slice(&response.body).expect("a dump");
+    state["lost_servers"].as_u64().expect("a number")
+}
+
+/// Guards against a crash that is forgotten because the only instance that saw it ends before its next exchange.
+#[test]
+fn loss_of_a_server_is_told_at_once() {
+    smol::block_on(async {
+        let (fleet, harnesses) = start(Case { instances: 2, ..BAD_BODY }).await;
+        Timer::after(Duration::from_millis(1_200)).await;
+        for n in 0..LOSSES {
+            // Either of the two calls the other one in their rounds.
+            let (sender, other) = (&harnesses[n % 2], &harnesses[1 - n % 2]);
+            send_once(sender, &format!("b{n}"), "", &format!("{BAD}{n}")).await;
+            while fleet.crashes().len() <= n {
+                Timer::after(Duration::from_millis(2)).await;
+            }
+            Timer::after(TOLD).await;
+            assert_eq!(lost_servers(other).await, n as u64 + 1, "loss {n}");
+            Timer::after(Duration::from_millis(900)).await;
+        }
+    });
+}
+
 /// Sends a request to the route of streams that are not resumed, without waiting for the response.
 async fn send_once(harness: &Harness, id: &str, parts: &str, body: &str) {
     let mut caller = harness.caller().await;
--- a/crates/fuchsiabay-gateway/tests/support/crashing.rs
+++ b/crates/fuchsiabay-gateway/tests/support/crashing.rs
@@ -208,7 +208,7 @@
 }
 
 fn is_bad(req: &Received) -> bool {
-    let is_bad_body = [BAD, BAD_LATE].iter().any(|bad| req.body == bad.as_bytes());
+    let is_bad_body = req.body.starts_with(BAD.as_bytes());
     let is_bad_copy =
         req.body == BAD_COPIES.as_bytes() && req.header("x-call").is_some_and(|id| id.starts_with('b'));
     req.header("x-parts").unwrap_or_default().contains(BAD) || is_bad_body || is_bad_copy
