Take an answer on an older connection as a sign that given-up attempts ended

An attempt that its caller gives up stayed suspect for 10 s at a service whose servers do not report their start, and was then counted as survived although nothing had shown that. The server has survived it if it answers a later request on a connection that is older than the attempt; otherwise nothing is known, and nothing is counted.

--- a/crates/fuchsiabay-balancer/src/crashes/commands.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/commands.rs
@@ -9,12 +9,12 @@
     Suspect,
     crash::{Crash, MAX_MESSAGE_MS},
     given_up::GivenUpAttempt,
-    occupancies::MAX_REQUESTS,
+    occupancies::MAX_TOLD,
     verdicts::{Verdicts, contested_requests},
 };
 
-/// The number of survivals that show that a part of prompts is harmless. One may be mistaken, for example if this instance was paused
-/// between the first event of a stream and the crash.
+/// The number of survivals that show that a part of prompts is harmless. One may be mistaken, for example if this instance was
+/// paused between the first event of a stream and the crash.
 const ENOUGH_SURVIVALS: u32 = 3;
 
 /// The maximum number of crashes that are kept. When a group is cut off, all its ranks look like crashed ones for a moment.
@@ -101,6 +101,8 @@
         sent_at: Timestamp,
         now: Timestamp,
     ) {
+        let survived = self.given_up.record_response(server, opened_at, sent_at);
+        self.record_time(&survived, now);
         let crash = self.crashes.get(server);
         if crash.is_some_and(|crash| crash.is_same_process(opened_at) && crash.is_refuted_by(sent_at)) {
             self.record_alive(server, sent_at, now);
@@ -172,7 +174,7 @@
                 self.events.push(CrashEvent::Counted { incarnation, suspects });
             }
         }
-        self.contested = contested_requests(self.crashes.values(), MAX_REQUESTS);
+        self.contested = contested_requests(self.crashes.values(), MAX_TOLD);
         for own in self.own_occupancies(now) {
             self.occupancies.record(None, own, now);
         }
@@ -184,7 +186,7 @@
 
     /// Records which part of the servers runs requests for the instance at `from`.
     pub fn merge_occupancies(&mut self, from: SocketAddr, told: &[RequestOccupancy], now: Timestamp) {
-        for one in told.iter().take(MAX_REQUESTS) {
+        for one in told.iter().take(MAX_TOLD) {
             if self.occupancies.record(Some(from), *one, now) {
                 self.verdicts.request_evaluation(now);
             }
@@ -236,8 +238,7 @@
 
     fn remove_expired(&mut self, now: Timestamp) {
         self.crashes.retain(|_, crash| crash.expires_at() > now);
-        let survived = self.given_up.remove_expired(now);
-        self.record_time(&survived, now);
+        self.given_up.remove_expired(now);
         self.occupancies.remove_expired(now);
         self.alive_at.retain(|_, alive_at| alive_at.plus_millis(SERVER_STATE_MS) > now);
         self.disappeared.retain(|_, at| at.plus_millis(SERVER_STATE_MS) > now);
--- a/crates/fuchsiabay-balancer/src/crashes/given_up.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/given_up.rs
@@ -27,9 +27,18 @@
 }
 
 impl GivenUpAttempt {
-    /// Returns the run of an attempt that its server survived, with the `ms` for which it was suspect afterwards.
-    fn survived(self, ms: u64) -> (Box<[Suspect]>, SurvivedRun) {
-        (self.suspects, SurvivedRun { ms: self.run.ms + ms, ..self.run })
+    fn begun_at(&self) -> Timestamp {
+        self.at.minus_millis(self.run.ms)
+    }
+
+    /// Returns whether its server did not run it any more at `at`.
+    fn has_ended_before(&self, at: Timestamp) -> bool {
+        self.at.plus_millis(RUNS_ON_MS) < at
+    }
+
+    /// Returns the run of an attempt that its server survived, with the time for which it may have run afterwards.
+    fn into_survived(self) -> (Box<[Suspect]>, SurvivedRun) {
+        (self.suspects, SurvivedRun { ms: self.run.ms + RUNS_ON_MS, ..self.run })
     }
 }
 
@@ -52,10 +61,32 @@
         server: &Incarnation,
         alive_at: Timestamp,
     ) -> Vec<(Box<[Suspect]>, SurvivedRun)> {
-        let ended = self.0.get_mut(server).into_iter().flat_map(|attempts| {
-            attempts.extract_if(.., |attempt| attempt.at.plus_millis(RUNS_ON_MS) < alive_at)
-        });
-        ended.map(|attempt| attempt.survived(RUNS_ON_MS)).collect()
+        self.take_survived(server, |attempt| attempt.has_ended_before(alive_at))
+    }
+
+    /// Records that a request sent at `sent_at` was answered on a connection opened at `opened_at`. The process that answered
+    /// survived the attempts that it did not run any more and that began later than the connection. Returns them.
+    pub(super) fn record_response(
+        &mut self,
+        server: &Incarnation,
+        opened_at: Timestamp,
+        sent_at: Timestamp,
+    ) -> Vec<(Box<[Suspect]>, SurvivedRun)> {
+        self.take_survived(server, |attempt| {
+            opened_at <= attempt.begun_at() && attempt.has_ended_before(sent_at)
+        })
+    }
+
+    fn take_survived(
+        &mut self,
+        server: &Incarnation,
+        has_survived: impl Fn(&GivenUpAttempt) -> bool,
+    ) -> Vec<(Box<[Suspect]>, SurvivedRun)> {
+        let Some(attempts) = self.0.get_mut(server) else {
+            return Vec::new();
+        };
+        let survived = attempts.extract_if(.., |attempt| has_survived(attempt));
+        survived.map(GivenUpAttempt::into_survived).collect()
     }
 
     /// Takes the suspects that a server may have run when it lost connections at `lost_at`.
@@ -78,15 +109,11 @@
         self.0.remove(server).unwrap_or_default().into_iter()
     }
 
-    /// Removes the attempts after which no server has ended. Returns them.
-    pub(super) fn remove_expired(&mut self, now: Timestamp) -> Vec<(Box<[Suspect]>, SurvivedRun)> {
-        let ended = self
-            .0
-            .values_mut()
-            .flat_map(|attempts| attempts.extract_if(.., |attempt| attempt.at.plus_millis(EXPIRY_MS) <= now));
-        let ended = ended.map(|attempt| attempt.survived(EXPIRY_MS)).collect();
-        self.0.retain(|_, attempts| !attempts.is_empty());
-        ended
+    pub(super) fn remove_expired(&mut self, now: Timestamp) {
+        self.0.retain(|_, attempts| {
+            attempts.retain(|attempt| attempt.at.plus_millis(EXPIRY_MS) > now);
+            !attempts.is_empty()
+        });
     }
 }
 
--- a/crates/fuchsiabay-balancer/src/crashes/occupancies.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/occupancies.rs
@@ -8,7 +8,7 @@
 use super::{Occupancy, crash::EXPIRY_MS};
 
 /// The maximum number of requests of which one instance tells the others.
-pub(super) const MAX_REQUESTS: usize = 64;
+pub(super) const MAX_TOLD: usize = 64;
 
 /// The occupancy of a request, as one instance knows it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
--- a/crates/fuchsiabay-balancer/tests/given_up_attempts.rs
+++ b/crates/fuchsiabay-balancer/tests/given_up_attempts.rs
@@ -4,6 +4,7 @@
 mod support;
 
 use fuchsiabay_balancer::CrashLedger;
+use fuchsiabay_base::Timestamp;
 use support::{at, is_refused, server, suspects};
 
 /// The number of servers of the service.
@@ -19,9 +20,12 @@
     GivesUp(u64),
     /// The server answers a question asked at the first time.
     Lives(u64),
+    /// The server answers a request sent at the first time on a connection that was opened as long before the attempt as the second
+    /// one states, or after it if negative.
+    Answers(u64, i64),
 }
 
-use Event::{Disappears, GivesUp, Lives, Loss, Unreachable};
+use Event::{Answers, Disappears, GivesUp, Lives, Loss, Unreachable};
 
 /// Gives up an attempt at each of three servers after `silent_ms` without a sign of the server, and checks whether the request is
 /// refused after the events.
@@ -43,6 +47,11 @@
                     let now = at(given_up_ms + ms);
                     ledger.record_given_up(&server, &request, now, now, SERVERS, now);
                 }
+                Answers(ms, before_ms) => {
+                    let sent_at = at(given_up_ms + ms);
+                    let opened_ms = at(begun_ms).as_millis().saturating_add_signed(-before_ms);
+                    ledger.record_response(&server, Timestamp::from_millis(opened_ms), sent_at, sent_at);
+                }
                 Unreachable(ms) => ledger.record_unreachable(&server, at(given_up_ms + ms)),
                 Lives(ms) => ledger.record_report(&server, at(given_up_ms + ms), at(given_up_ms + ms + 10)),
             }
@@ -71,6 +80,9 @@
     /// Guards against a deadline that passes after the directory has shown the end of the server.
     attempt_given_up_after_its_server_disappeared_counts(50, &[Lives(2_000), Disappears(4_000), GivesUp(4_500)], true);
     attempt_survived_before_its_server_disappears_does_not_count(50, &[Lives(2_000), Disappears(4_000)], false);
+    attempt_survived_by_a_server_that_answers_later_does_not_count(50, &[Answers(2_000, 100), Disappears(4_000)], false);
+    /// Guards against a response of the next process that clears what ended the former one.
+    attempt_does_not_count_as_survived_by_the_next_process(50, &[Answers(2_000, -1_000), Disappears(4_000)], true);
     /// Guards against a server on which nothing else ran when it ended.
     attempt_before_its_server_is_unreachable_counts(50, &[Unreachable(500)], true);
     attempt_before_its_server_is_unreachable_for_a_moment_does_not_count(50, &[Unreachable(500), Lives(900)], false);
