--- a/crates/fuchsiabay-prove/src/claims_world/mod.rs
+++ b/crates/fuchsiabay-prove/src/claims_world/mod.rs
@@ -25,6 +25,7 @@
     claims_script::{AGENTS, ClaimAction},
     fake_log::FakeLog,
     schedule::Schedule,
+    step::last_at_ms,
 };
 
 /// The time at which every case starts.
@@ -150,13 +151,11 @@
             runs: BTreeMap::new(),
             answered_not_run: BTreeSet::new(),
         };
-        for (i, step) in steps.iter().enumerate() {
-            world.schedule.after(step.at_ms, Event::Action(i));
-        }
+        world.schedule.add_steps(steps, Event::Action);
         for agent in 0..AGENTS {
             world.send_to_agent(0, agent, Message::Poll);
         }
-        let last = steps.iter().map(|step| step.at_ms).max().unwrap_or(0);
+        let last = last_at_ms(steps);
         while let Some(event) = world.schedule.next(START.plus_millis(last + SETTLE_MS)) {
             world.handle(event);
         }
--- a/crates/fuchsiabay-prove/src/config_world/mod.rs
+++ b/crates/fuchsiabay-prove/src/config_world/mod.rs
@@ -114,9 +114,7 @@
             model: Model::default(),
             outcome: Outcome::default(),
         };
-        for (i, step) in steps.iter().enumerate() {
-            world.schedule.after(step.at_ms, Event::Action(i));
-        }
+        world.schedule.add_steps(steps, Event::Action);
         for process in 0..PROCESSES {
             let phase = world.rng.u64(0..500);
             world.send(phase, process, Message::Round);
--- a/crates/fuchsiabay-prove/src/crash_world.rs
+++ b/crates/fuchsiabay-prove/src/crash_world.rs
@@ -15,6 +15,7 @@
     crash_script::{CrashAction, ENTRIES},
     fake_log::FakeLog,
     schedule::Schedule,
+    step::last_at_ms,
 };
 
 /// The time at which every case starts.
@@ -173,11 +174,9 @@
             crashes: BTreeMap::new(),
             outcome: Outcome::default(),
         };
-        for (i, step) in steps.iter().enumerate() {
-            world.schedule.after(step.at_ms, Event::Action(i));
-        }
+        world.schedule.add_steps(steps, Event::Action);
         (0..ENTRIES).for_each(|entry| world.schedule.after(100 * entry as u64, Event::Poll(entry)));
-        let last = steps.iter().map(|step| step.at_ms).max().unwrap_or(0);
+        let last = last_at_ms(steps);
         while let Some(event) = world.schedule.next(START.plus_millis(last + SETTLE_MS)) {
             world.handle(event);
         }
--- a/crates/fuchsiabay-prove/src/drain_world.rs
+++ b/crates/fuchsiabay-prove/src/drain_world.rs
@@ -135,9 +135,7 @@
             started_attempts: BTreeSet::new(),
             outcome: Outcome::default(),
         };
-        for (i, step) in steps.iter().enumerate() {
-            world.schedule.after(step.at_ms, Event::Action(i));
-        }
+        world.schedule.add_steps(steps, Event::Action);
         while let Some(event) = world.schedule.next(START.plus_millis(CASE_MS)) {
             world.handle(event);
         }
--- a/crates/fuchsiabay-prove/src/leaving_world/mod.rs
+++ b/crates/fuchsiabay-prove/src/leaving_world/mod.rs
@@ -21,6 +21,7 @@
     leaving_script::{ENTRIES, LeavingAction, SERVERS},
     leaving_server::{Job, Server},
     schedule::Schedule,
+    step::last_at_ms,
 };
 
 const START: Timestamp = Timestamp::from_millis(1_000_000);
@@ -117,10 +118,8 @@
         for entry in 0..ENTRIES {
             world.schedule.after(entry as u64, Event::MaintainConnections { entry, round: 0 });
         }
-        for (i, step) in steps.iter().enumerate() {
-            world.schedule.after(step.at_ms, Event::Action(i));
-        }
-        let last = steps.iter().map(|step| step.at_ms).max().unwrap_or(0);
+        world.schedule.add_steps(steps, Event::Action);
+        let last = last_at_ms(steps);
         while let Some(event) = world.schedule.next(START.plus_millis(last + SETTLE_MS)) {
             world.handle(event);
         }
--- a/crates/fuchsiabay-prove/src/map_world.rs
+++ b/crates/fuchsiabay-prove/src/map_world.rs
@@ -14,6 +14,7 @@
     fake_log::{FakeLog, StoredRecord},
     map_script::{MapAction, RANKS},
     schedule::Schedule,
+    step::last_at_ms,
 };
 
 const START: Timestamp = Timestamp::from_millis(1_000_000);
@@ -105,16 +106,14 @@
             last_step_at: START,
             outcome: Outcome::default(),
         };
-        for (i, step) in steps.iter().enumerate() {
-            world.schedule.after(step.at_ms, Event::Action(i));
-        }
+        world.schedule.add_steps(steps, Event::Action);
         for agent in 0..RANKS {
             world.schedule.after(agent as u64, Event::Poll { agent, incarnation: 1 });
         }
         world.schedule.after(0, Event::CoordinatorTick(0));
         world.schedule.after(150, Event::CoordinatorTick(1));
         world.schedule.after(0, Event::Step);
-        let last = steps.iter().map(|step| step.at_ms).max().unwrap_or(0);
+        let last = last_at_ms(steps);
         while let Some(event) = world.schedule.next(START.plus_millis(last + SETTLE_MS)) {
             world.handle(event);
         }
--- a/crates/fuchsiabay-prove/src/order_world.rs
+++ b/crates/fuchsiabay-prove/src/order_world.rs
@@ -10,6 +10,7 @@
     fake_log::{FakeLog, StoredRecord},
     order_script::OrderAction,
     schedule::Schedule,
+    step::last_at_ms,
 };
 
 const START: Timestamp = Timestamp::from_millis(1_000_000);
@@ -88,11 +89,9 @@
             last_orders: BTreeMap::new(),
             outcome: Outcome::default(),
         };
-        for (i, step) in steps.iter().enumerate() {
-            world.schedule.after(step.at_ms, Event::Action(i));
-        }
+        world.schedule.add_steps(steps, Event::Action);
         world.schedule.after(0, Event::Poll { incarnation: 1 });
-        let last = steps.iter().map(|step| step.at_ms).max().unwrap_or(0);
+        let last = last_at_ms(steps);
         while let Some(event) = world.schedule.next(START.plus_millis(last + SETTLE_MS)) {
             world.handle(event);
         }
--- a/crates/fuchsiabay-prove/src/schedule.rs
+++ b/crates/fuchsiabay-prove/src/schedule.rs
@@ -4,6 +4,8 @@
 
 use fuchsiabay_base::Timestamp;
 
+use crate::Step;
+
 /// Pending events by virtual time. Events of the same millisecond occur in the order in which they were added.
 #[derive(Debug)]
 pub(crate) struct Schedule<E> {
@@ -30,6 +32,13 @@
         self.at(self.now.plus_millis(ms), event);
     }
 
+    /// Adds the event that `action` returns for the number of each step.
+    pub(crate) fn add_steps<A>(&mut self, steps: &[Step<A>], action: impl Fn(usize) -> E) {
+        for (i, step) in steps.iter().enumerate() {
+            self.after(step.at_ms, action(i));
+        }
+    }
+
     /// Removes the next event and advances the time to it, unless it is later than `end`.
     pub(crate) fn next(&mut self, end: Timestamp) -> Option<E> {
         let ((at, _), event) = self.events.pop_first()?;
--- a/crates/fuchsiabay-prove/src/step.rs
+++ b/crates/fuchsiabay-prove/src/step.rs
@@ -12,3 +12,8 @@
     #[serde(flatten)]
     pub action: A,
 }
+
+/// Returns the time of the last of `steps`, in milliseconds after the start of the case.
+pub(crate) fn last_at_ms<A>(steps: &[Step<A>]) -> u64 {
+    steps.iter().map(|step| step.at_ms).max().unwrap_or(0)
+}
--- a/crates/fuchsiabay-prove/src/stream_world.rs
+++ b/crates/fuchsiabay-prove/src/stream_world.rs
@@ -11,6 +11,7 @@
 use crate::{
     Outcome, Step,
     schedule::Schedule,
+    step::last_at_ms,
     stream_script::{SERVERS, StreamAction},
 };
 
@@ -169,10 +170,8 @@
             next_attempt: 0,
             outcome: Outcome::default(),
         };
-        for (i, step) in steps.iter().enumerate() {
-            world.schedule.after(step.at_ms, Event::Action(i));
-        }
-        let last = steps.iter().map(|step| step.at_ms).max().unwrap_or(0);
+        world.schedule.add_steps(steps, Event::Action);
+        let last = last_at_ms(steps);
         while let Some(event) = world.schedule.next(START.plus_millis(last + SETTLE_MS)) {
             world.handle(event);
         }
