--- a/crates/fuchsiabay-balancer/src/crashes/occupancy.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/occupancy.rs
@@ -10,7 +10,7 @@
 pub struct Occupancy(u32);
 
 impl Occupancy {
-    /// What a request has that all servers run all the time.
+    /// The occupancy of a request that all servers run all the time.
     const FULL: u64 = 1_000_000;
 
     /// Returns the occupancy of a request that each server ran for `us` microseconds within `period_ms` milliseconds.
--- a/crates/fuchsiabay-balancer/src/crashes/verdicts.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/verdicts.rs
@@ -72,8 +72,8 @@
     }
 
     /// Quarantines the fewest of the other whole requests that explain the remaining crashes: first the one that is the least
-    /// likely to run on these servers by chance. Those that may have are cleared. Once enough crashes count, a further server
-    /// that is lost under a request is taken into account at once.
+    /// likely to run on these servers by chance. The others are cleared. Once enough crashes count, a further server that is
+    /// lost under a request is taken into account at once.
     fn add_survived_requests(
         &mut self,
         counted: &[&Crash],
