List the refusal of a sound request beside a bad one with sound copies

A simulated instance that had just started and was cut off from the others cleared the bad request and blamed its crashes on a part of a sound prompt.

--- a/crates/fuchsiabay-balancer/tests/repeated_requests.rs
+++ b/crates/fuchsiabay-balancer/tests/repeated_requests.rs
@@ -387,6 +387,14 @@
     assert!(is_contained(&world));
 }
 
+/// Guards against the refusal of a sound request for a part of its prompt, because the request that crashes servers is cleared.
+#[test]
+fn sound_request_is_served_beside_a_bad_one_with_sound_copies() {
+    let world =
+        run_beside(13_666_879_424_387_608_231, 185, Beside { copies_ms: Some(1_178), ..Beside::default() });
+    assert_eq!(world.refused_sound, 0);
+}
+
 /// Guards against a popular sound request that is refused because it also runs on the servers that a bad one crashes.
 #[test]
 fn popular_request_is_served_beside_a_bad_one() {
