--- a/review/support-2/standins.py
+++ b/review/support-2/standins.py
@@ -606,6 +606,8 @@
 def main(folder, run):
     """Runs a case and exits with its result: 1 if the rule was broken, 0 if it held, 2 if it could not run."""
     trouble = os.environ.get("TROUBLE", "1") != "0"
+    # Ends the processes that were started, as an exception does.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         is_broken = run(folder, trouble)
     except Exception as error:  # Anything unexpected says nothing about the rule.
