Report a reset that the writer of a request has seen to the reader of the response

Callers received the beginning of a body as the complete response. A server answered an upload at once with a 200 without a length, sent part of the body and reset the connection while the request was still being written.

Cause: the kernel reports a reset to one system call only. The request is written and the response is read at the same time, and the writer goes first. If the reset had arrived together with the response, the write got ECONNRESET; the reads then returned what had been received and the end of the stream, which is what a server that ends its response in order looks like. Seen on plain sockets: the write fails with "Connection reset by peer", then the reads return the part and 0 bytes. Ruled out: a reset that arrives after the response head is read, because the write has ended then and the read gets the error; responses with a length or in chunks, which are known to be cut.

The write side of a socket is a type of its own now and keeps the error of a write for the reader, which reports it where it would otherwise report the end of the stream. This holds for buffered responses and streams, and for every other reader of a socket. EPIPE is not kept: the kernel reports it instead of ECONNRESET if the server had ended its stream before the reset, so such a response is complete.

The cases with a later reset and those with a response that ends in order, also before a reset, passed before and pass now.

--- a/crates/fuchsiabay-gateway/src/http/buffered_socket.rs
+++ b/crates/fuchsiabay-gateway/src/http/buffered_socket.rs
@@ -10,6 +10,8 @@
     net::TcpStream,
 };
 
+use super::SocketWriter;
+
 /// The maximum number of bytes per read. An event or a small response fits. Idle connections hold no buffer.
 const READ_CHUNK_BYTES: usize = 4 * 1024;
 
@@ -30,6 +32,7 @@
 #[derive(Debug)]
 pub(crate) struct BufferedSocket {
     stream: TcpStream,
+    writer: SocketWriter,
     buf: Vec<u8>,
     /// The start of the bytes in `buf` that were not consumed.
     start: usize,
@@ -43,7 +46,8 @@
         if let Err(error) = set_socket_options(&stream) {
             log::debug!("socket: cannot set socket options: {error}");
         }
-        Self { stream, buf: Vec::new(), start: 0, reads: 0 }
+        let writer = SocketWriter::new(stream.clone());
+        Self { stream, writer, buf: Vec::new(), start: 0, reads: 0 }
     }
 
     /// Returns the bytes that were read and not consumed.
@@ -69,7 +73,7 @@
         }
     }
 
-    /// Reads once into the buffer. Returns the number of bytes read, 0 at the end of the stream.
+    /// Reads once into the buffer. Returns the number of bytes read, 0 if the peer has ended the stream in order.
     ///
     /// Yields from time to time, because a read from a peer that sends without end never waits. Timeouts and other tasks
     /// would otherwise not run.
@@ -88,7 +92,11 @@
         }
         let len = self.buf.len();
         self.buf.resize(len + READ_CHUNK_BYTES, 0);
-        TruncateOnDrop { buf: &mut self.buf, len }.read(&mut self.stream).await
+        let n = TruncateOnDrop { buf: &mut self.buf, len }.read(&mut self.stream).await?;
+        match self.writer.error() {
+            Some(error) if n == 0 => Err(error.into()),
+            _ => Ok(n),
+        }
     }
 
     /// Waits until bytes can be read or the connection is closed.
@@ -115,12 +123,12 @@
 
     /// Writes all of `bytes`.
     pub(crate) async fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.stream.write_all(bytes).await
+        self.writer.write_all(bytes).await
     }
 
-    /// Returns a second handle to the socket, so that a task can write while it waits for input.
-    pub(crate) fn writer(&self) -> TcpStream {
-        self.stream.clone()
+    /// Returns the write side, so that a task can write while it waits for input.
+    pub(crate) fn writer(&self) -> SocketWriter {
+        self.writer.clone()
     }
 
     /// Shuts down the write side.
--- a/crates/fuchsiabay-gateway/src/http/mod.rs
+++ b/crates/fuchsiabay-gateway/src/http/mod.rs
@@ -7,6 +7,7 @@
 mod head;
 mod request_head;
 mod response_head;
+mod socket_writer;
 
 pub(crate) use body::{BodyError, BodyReader};
 pub(crate) use buffered_socket::BufferedSocket;
@@ -15,3 +16,4 @@
 pub(crate) use head::{HeadError, Headers};
 pub(crate) use request_head::RequestHead;
 pub(crate) use response_head::{ReadHeadError, ResponseHead};
+pub(crate) use socket_writer::SocketWriter;
--- a/crates/fuchsiabay-gateway/src/request/stream.rs
+++ b/crates/fuchsiabay-gateway/src/request/stream.rs
@@ -2,7 +2,7 @@
 
 use fuchsiabay_base::{Timestamp, Verdict};
 use fuchsiabay_runtime::monotonic_now;
-use smol::{io::AsyncWriteExt, net::TcpStream};
+use smol::io::AsyncWriteExt;
 
 use super::{
     RequestOutcome, buffered,
@@ -14,7 +14,7 @@
 use crate::{
     backend::{Attempt, Failure, FailureKind},
     body_budget::BodyLease,
-    http::{BufferedSocket, ResponseHead},
+    http::{BufferedSocket, ResponseHead, SocketWriter},
     request_metrics,
     shard::{ServiceShard, SlotGuard},
 };
@@ -135,7 +135,7 @@
 
 /// Relays a stream to its caller.
 struct Relay {
-    writer: TcpStream,
+    writer: SocketWriter,
     splitter: EventSplitter,
     /// The memory of the incomplete event.
     lease: BodyLease,
@@ -152,7 +152,7 @@
 }
 
 impl Relay {
-    fn new(writer: TcpStream, splitter: EventSplitter, lease: BodyLease) -> Self {
+    fn new(writer: SocketWriter, splitter: EventSplitter, lease: BodyLease) -> Self {
         Self {
             writer,
             splitter,
--- /dev/null
+++ b/crates/fuchsiabay-gateway/tests/early_responses.rs
@@ -0,0 +1,86 @@
+//! Servers that respond while the request is still being written, with a body that ends with the connection.
+
+#[path = "support/cases.rs"]
+#[macro_use]
+mod cases;
+mod support;
+
+use fuchsiabay_balancer::ServingConfig;
+use support::{Behaviour, EarlyEnd, EarlyResponse, Harness, harness, platform::FakePlatform};
+
+/// More than the kernel buffers for a server that does not read, so that the request is still being written.
+const UPLOAD_BYTES: usize = 8 << 20;
+
+/// How often each case is tried. Whether the end of a connection is seen first by the reader or by the writer depends on timing.
+const ROUNDS: usize = 10;
+
+const BODY: &str = "HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\n\r\nthe body";
+const EVENTS: &str = "HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: e1\n\n";
+
+async fn start(servers: usize, script: &[Behaviour]) -> Harness {
+    let mut config: ServingConfig = harness::config(1);
+    config.limits.max_body_bytes = UPLOAD_BYTES;
+    Harness::start_on(FakePlatform::default(), config, servers, script).await
+}
+
+/// Uploads a long body. Returns the status and the body of the response that the caller takes as complete, if any.
+async fn upload(harness: &Harness, path: &str) -> Option<(u16, String)> {
+    let head = format!(
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Call: c1\r\nX-Left: 900\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n"
+    );
+    let mut bytes = head.into_bytes();
+    bytes.resize(bytes.len() + UPLOAD_BYTES, b'x');
+    let response = harness.caller().await.round_trip(&bytes).await?;
+    let body = String::from_utf8(response.body).expect("the body is UTF-8");
+    response.is_complete.then_some((response.status, body))
+}
+
+/// Checks that the caller takes no part of a response that was reset as complete.
+async fn check_reset(path: &str, bytes: &'static str, end: EarlyEnd) {
+    for round in 0..ROUNDS {
+        let reset = Behaviour::Early(EarlyResponse { bytes, end });
+        let harness = start(1, &[reset]).await;
+        let response = upload(&harness, path).await;
+        assert!(response.as_ref().is_none_or(|(status, _)| *status == 502), "round {round}: {response:?}");
+        assert_eq!(harness.received(), 1);
+    }
+}
+
+// Guards against part of a body that the caller takes as the whole one, because the reset was reported to the writer and the
+// reader then saw the end of the connection.
+cases! { check_reset:
+    reset_body_is_not_relayed_as_complete("/unsafe/a", BODY, EarlyEnd::Reset);
+    body_that_is_reset_later_is_not_relayed("/unsafe/a", BODY, EarlyEnd::LateReset);
+    reset_stream_is_not_relayed_as_complete("/once/a", EVENTS, EarlyEnd::Reset);
+    stream_that_is_reset_later_is_not_relayed_as_complete("/once/a", EVENTS, EarlyEnd::LateReset);
+}
+
+/// Guards against failing a safe request although another server can run it.
+#[test]
+fn safe_request_is_retried_after_a_reset_response() {
+    smol::block_on(async {
+        let reset = Behaviour::Early(EarlyResponse { bytes: BODY, end: EarlyEnd::Reset });
+        let harness = start(2, &[reset, Behaviour::Respond("whole")]).await;
+        assert_eq!(upload(&harness, "/safe/a").await, Some((200, "whole".to_owned())));
+        assert_eq!(harness.received(), 2);
+    });
+}
+
+/// Checks that the caller receives the whole response.
+async fn check_complete(path: &str, bytes: &'static str, end: EarlyEnd) {
+    let body = bytes.split_once("\r\n\r\n").unwrap().1;
+    for round in 0..ROUNDS {
+        let harness = start(1, &[Behaviour::Early(EarlyResponse { bytes, end })]).await;
+        let response = upload(&harness, path).await;
+        assert_eq!(response, Some((200, body.to_owned())), "round {round}");
+    }
+}
+
+// Guards against rejecting a response that the server has ended in order. What it does with the rest of the request, and with
+// the connection, does not change that.
+cases! { check_complete:
+    body_that_ends_in_order_is_relayed("/unsafe/a", BODY, EarlyEnd::ShutDown);
+    body_that_ends_before_a_reset_is_relayed("/unsafe/a", BODY, EarlyEnd::ShutDownAndClose);
+    stream_that_ends_in_order_is_relayed("/once/a", EVENTS, EarlyEnd::ShutDown);
+    stream_that_ends_before_a_reset_is_relayed("/once/a", EVENTS, EarlyEnd::ShutDownAndClose);
+}
--- /dev/null
+++ b/crates/fuchsiabay-gateway/tests/support/early_response.rs
@@ -0,0 +1,62 @@
+//! Responses of servers that have not read the body of the request yet.
+
+use std::time::Duration;
+
+use rustix::net::sockopt;
+use smol::{Timer, io::AsyncWriteExt, net::TcpStream};
+
+/// The time within which the upload of a long body fills the buffers of the kernel, and within which a peer notices what was
+/// sent.
+const PAUSE: Duration = Duration::from_millis(60);
+
+/// How the server ends its response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum EarlyEnd {
+    /// Resets the connection right behind the response.
+    Reset,
+    /// Resets the connection some time after the response.
+    LateReset,
+    /// Shuts down its write side, and keeps the connection open for some time.
+    ShutDown,
+    /// Shuts down its write side and closes the connection. The kernel then resets it, because parts of the request were not
+    /// read.
+    ShutDownAndClose,
+}
+
+/// A response that is sent once the head of the request was read and the upload of its body has stalled.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct EarlyResponse {
+    /// The bytes, with `{id}` in place of the id of the request.
+    pub bytes: &'static str,
+    pub end: EarlyEnd,
+}
+
+impl EarlyResponse {
+    pub(super) async fn send(&self, mut stream: TcpStream, id: &str) {
+        Timer::after(PAUSE).await;
+        let bytes = self.bytes.replace("{id}", id);
+        // The response fits into the buffer of the kernel, so a reset that follows at once arrives together with it.
+        if stream.write_all(bytes.as_bytes()).await.is_err() {
+            return;
+        }
+        match self.end {
+            EarlyEnd::Reset => reset(&stream),
+            EarlyEnd::LateReset => {
+                Timer::after(PAUSE).await;
+                reset(&stream);
+            }
+            EarlyEnd::ShutDown => {
+                let _ = stream.close().await;
+                Timer::after(PAUSE).await;
+            }
+            EarlyEnd::ShutDownAndClose => {
+                let _ = stream.close().await;
+            }
+        }
+    }
+}
+
+/// Makes the connection end with a reset when the stream is dropped.
+fn reset(stream: &TcpStream) {
+    sockopt::set_socket_linger(stream, Some(Duration::ZERO)).expect("the socket is open");
+}
--- a/crates/fuchsiabay-gateway/tests/support/mod.rs
+++ b/crates/fuchsiabay-gateway/tests/support/mod.rs
@@ -5,10 +5,12 @@
 
 pub mod caller;
 pub mod crashing;
+pub mod early_response;
 pub mod harness;
 pub mod platform;
 pub mod server;
 
 pub use caller::{Caller, Response};
+pub use early_response::{EarlyEnd, EarlyResponse};
 pub use harness::{HEADER_NAMES, Harness, route};
 pub use server::{Behaviour, FakeServer};
--- a/crates/fuchsiabay-gateway/tests/support/server.rs
+++ b/crates/fuchsiabay-gateway/tests/support/server.rs
@@ -13,7 +13,7 @@
     net::{TcpListener, TcpStream},
 };
 
-use super::caller::find;
+use super::{caller::find, early_response::EarlyResponse};
 
 /// How the server handles a request.
 #[derive(Clone, Debug, PartialEq, Eq)]
@@ -67,6 +67,8 @@
     Leaving(u64),
     /// Refuses the request after a delay in milliseconds, and states how long the server wants none.
     Paused(u64, &'static str),
+    /// Responds before it has read the body of the request.
+    Early(EarlyResponse),
 }
 
 /// A request as the server received it.
@@ -141,13 +143,20 @@
 
 async fn serve(state: Arc<State>, mut stream: TcpStream) {
     let mut buf = Vec::new();
-    while let Some(received) = read_request(&mut stream, &mut buf).await {
+    while let Some(mut received) = read_head(&mut stream, &mut buf).await {
         let id = received.header("x-call").unwrap_or_default();
         let resume_after = received.header("last-event-id").and_then(|id| id.parse().ok()).unwrap_or(0);
         let behaviour = {
             let mut script = state.script.lock().unwrap();
             if script.len() > 1 { script.pop_front().unwrap() } else { script.front().unwrap().clone() }
         };
+        if let Behaviour::Early(response) = &behaviour {
+            state.received.lock().unwrap().push(received);
+            return response.send(stream, &id).await;
+        }
+        if read_body(&mut stream, &mut buf, &mut received).await.is_none() {
+            return;
+        }
         state.received.lock().unwrap().push(received);
         if !respond(&state, &mut stream, &behaviour, &id, resume_after).await {
             return;
@@ -190,6 +199,7 @@
             )
         }
         Behaviour::Raw(bytes) => bytes.replace("{id}", id),
+        Behaviour::Early(_) => unreachable!("it is sent before the body of the request is read"),
         Behaviour::InvalidResponse => "nothing that HTTP knows\r\n\r\n".to_owned(),
         Behaviour::Truncated => format!("{head}Content-Length: 100\r\n\r\nshort"),
         Behaviour::WrongRequestId => ok_response("foreign").replace(id, "another"),
@@ -311,6 +321,12 @@
 }
 
 pub async fn read_request(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<Received> {
+    let mut received = read_head(stream, buf).await?;
+    read_body(stream, buf, &mut received).await?;
+    Some(received)
+}
+
+async fn read_head(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<Received> {
     let end = loop {
         if let Some(i) = find(buf, b"\r\n\r\n") {
             break i + 4;
@@ -318,13 +334,16 @@
         fill(stream, buf).await?;
     };
     let head = String::from_utf8(buf.drain(..end).collect()).ok()?;
-    let mut received = Received { head, body: Vec::new(), at: Instant::now() };
+    Some(Received { head, body: Vec::new(), at: Instant::now() })
+}
+
+async fn read_body(stream: &mut TcpStream, buf: &mut Vec<u8>, received: &mut Received) -> Option<()> {
     let length = received.header("content-length").map_or(0, |length| length.parse().unwrap());
     while buf.len() < length {
         fill(stream, buf).await?;
     }
     received.body = buf.drain(..length).collect();
-    Some(received)
+    Some(())
 }
 
 async fn fill(stream: &mut TcpStream, buf: &mut Vec<u8>) -> Option<()> {
