Reject responses whose status code is not 100 to 599

Callers received the answer of a server in trouble as a response although its status was not valid: a response after a head with status 000 to 099, and any response with a status from 600 to 999 as it was.

Cause: the status was not checked beyond its three digits. A status below 200 counted as that of an interim response, whose head is skipped, so the bytes behind it, the body of the invalid response, were read as the next head. A status from 600 on counted as a final one. A status 000 with a body that does not look like a response already ended with 502.

A head with such a status is malformed now, in responses to callers' requests and to the gateway's own calls. Safe requests are retried at another server, others get 502 with the verdict that they may have run. The range is that of RFC 9110, section 15.

Tests: of invalid_heads, status_000_is_no_interim_response, status_099_is_no_interim_response, status_600_is_not_relayed, status_999_is_not_relayed and invalid_status_fails_a_call failed before (200 with the foreign body, 600, 999, Ok) and pass now. status_000_is_not_relayed passed before. All codes from 100 to 599 are still accepted.

--- a/crates/fuchsiabay-gateway/src/http/response_head.rs
+++ b/crates/fuchsiabay-gateway/src/http/response_head.rs
@@ -1,6 +1,6 @@
 //! The head of a backend server's response.
 
-use std::io;
+use std::{io, ops::RangeInclusive};
 
 use super::{
     BufferedSocket, Framing, HeadError, Headers,
@@ -10,6 +10,9 @@
 /// The maximum size of a response head and of the interim responses before it, in bytes.
 const MAX_HEAD_BYTES: usize = 64 * 1024;
 
+/// The status codes that HTTP allows. Others have no class, so it is unknown what the response means and where it ends.
+const STATUS_CODES: RangeInclusive<u16> = 100..=599;
+
 /// Why no response head was read.
 #[derive(Debug)]
 #[derive(thiserror::Error)]
@@ -47,7 +50,7 @@
         if has_bare_cr_or_lf(&bytes[..len]) {
             return Err(HeadError::Malformed);
         }
-        let status = response.code.ok_or(HeadError::Malformed)?;
+        let status = response.code.filter(|code| STATUS_CODES.contains(code)).ok_or(HeadError::Malformed)?;
         let headers = Headers::new(response.headers);
         let has_no_body = to_head_request || status < 200 || status == 204 || status == 304;
         let framing = match (headers.is_chunked()?, headers.content_length()?) {
