Test that field names with blanks or control bytes are rejected

Reported of other systems: a response was relayed although the name of a field in its head held a blank or a control byte, with that line passed on or with a body that was not the server's. The gateway rejects such heads already, so nothing but tests is added: each byte at the start, in the middle and at the end of names of six lengths, and lines that would change where the body ends. Names of several lengths are tried because the parser compares several bytes at a time, in a way that depends on the processor.

--- a/crates/fuchsiabay-gateway/tests/invalid_heads.rs
+++ b/crates/fuchsiabay-gateway/tests/invalid_heads.rs
@@ -14,12 +14,20 @@
 /// The timeout of a call, in milliseconds. It passes only if something hangs.
 const CALL_TIMEOUT_MS: u64 = 10_000;
 
+/// The lengths of the field names that are tried. Parsers that compare several bytes at a time have other paths for long names.
+const NAME_LENS: [usize; 6] = [1, 7, 8, 16, 33, 70];
+
 async fn call(response: String) -> Result<CallResponse, CallError> {
     let script = [Behaviour::Raw(response.leak())].into();
     let server = FakeServer::start(Arc::new(Mutex::new(script))).await;
     HttpClient::new(server.addr).get("/", monotonic_now().plus_millis(CALL_TIMEOUT_MS)).await
 }
 
+/// Calls a server, which responds with a head that contains the line `line`.
+async fn call_with_line(line: &str) -> Result<CallResponse, CallError> {
+    call(format!("HTTP/1.1 200 OK\r\n{line}\r\nContent-Length: 4\r\n\r\nbody")).await
+}
+
 /// Checks that a caller on an unsafe route does not receive `response`, and that one on a safe route receives the response of
 /// another server.
 async fn check_relayed(response: &'static str) {
@@ -52,6 +60,16 @@
         "HTTP/1.1 600 S\r\nX-Call: {id}\r\nX-Stamp: s\r\nContent-Length: 4\r\n\r\nfail");
     status_999_is_not_relayed(
         "HTTP/1.1 999 S\r\nX-Call: {id}\r\nX-Stamp: s\r\nContent-Length: 4\r\n\r\nfail");
+    name_with_a_blank_is_not_relayed(
+        "HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\nX Pad: 1\r\nContent-Length: 4\r\n\r\nfail");
+    name_with_a_control_byte_is_not_relayed(
+        "HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\nX-\u{1}Pad: 1\r\nContent-Length: 4\r\n\r\nfail");
+    length_with_a_blank_is_not_relayed(
+        "HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\nContent-Length : 4\r\n\r\nfail and more");
+    coding_with_a_control_byte_is_not_relayed(
+        "HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\nTransfer-Encoding\u{0}: chunked\r\n\r\n4\r\nfail\r\n0\r\n\r\n");
+    continued_line_is_not_relayed(
+        "HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\nX-Pad: 1\r\n 2: 3\r\nContent-Length: 4\r\n\r\nfail");
 }
 
 /// Guards against a response to an own call that is taken as valid although its status is outside 100 to 599.
@@ -75,3 +93,22 @@
         }
     });
 }
+
+/// Guards against a field whose name is not a token, for each byte, at the start, in the middle and at the end of the name.
+#[test]
+fn only_tokens_are_field_names() {
+    smol::block_on(async {
+        for byte in (0..128).map(char::from).chain(['é']) {
+            for len in NAME_LENS {
+                for at in [0, len / 2, len] {
+                    let name = format!("{}{byte}{}", "x".repeat(at), "x".repeat(len - at));
+                    let response = call_with_line(&format!("{name}: 1")).await;
+                    let is_token = byte.is_ascii_alphanumeric() || "!#$%&'*+-.^_`|~".contains(byte);
+                    // The part before a colon is the name.
+                    let is_valid = is_token || byte == ':' && at > 0;
+                    assert_eq!(response.is_ok(), is_valid, "{name:?}: {response:?}");
+                }
+            }
+        }
+    });
+}
