Continue to write a request while the body of its response is read

Callers got 504, or a stream that was cut off at its deadline, although the server would have sent a complete response. The server responded at once to an upload, read the rest of it, and then ended its response in order.

Cause: a request was written only until the head of the response had been read. The server waited for the rest of the request, and the gateway for the rest of the response, until the deadline of the request.

The writing is a type of its own now, Upload, and goes on while the body is read. It frees the request once it is written or cannot be written. A write that fails does not end the attempt, as before, and its error reaches the reader through the socket's write side. Whether a connection may be reused depends, as before, on whether the request was written before the head arrived.

The other nine cases of early_responses pass; those with a later reset now also cover a reset that is reported to the writer while the body is read.

--- a/crates/fuchsiabay-gateway/src/backend/attempt.rs
+++ b/crates/fuchsiabay-gateway/src/backend/attempt.rs
@@ -1,20 +1,15 @@
-//! Sends a request to one server and reads the head of its response.
+//! Sends a request to one server and reads the response.
 
-use std::{
-    future::Future,
-    io,
-    pin::pin,
-    sync::atomic::{AtomicBool, Ordering},
-    task::Poll,
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
 };
 
-use futures_lite::future;
-use smol::io::{AsyncWrite, AsyncWriteExt};
-
-use super::{Connection, Failure, FailureKind, OutgoingRequest};
+use super::{Connection, Failure, FailureKind, OutgoingRequest, upload::Upload};
 use crate::{
     HeaderNames,
-    http::{BodyReader, BufferedSocket, ReadHeadError, ResponseHead},
+    body_budget::BodyLease,
+    http::{BodyError, BodyReader, ReadHeadError, ResponseHead},
 };
 
 /// An attempt whose response head was received.
@@ -22,14 +17,15 @@
 pub(crate) struct Attempt {
     pub(crate) connection: Connection,
     pub(crate) response: Response,
-    pub(crate) body: BodyReader,
+    upload: Upload,
+    body: BodyReader,
 }
 
 /// A response head that was checked to belong to the request.
 #[derive(Clone, Debug)]
 pub(crate) struct Response {
     pub(crate) head: ResponseHead,
-    /// Whether the whole request was written before the head arrived. Otherwise the server still expects the rest, and the
+    /// Whether the whole request was written before the head arrived. Otherwise the server may not read the rest, and the
     /// connection must not be reused.
     pub(crate) request_was_sent: bool,
 }
@@ -41,20 +37,39 @@
     pub(crate) async fn start(
         mut connection: Connection,
         req: &OutgoingRequest,
-        bytes: &[u8],
+        bytes: Vec<u8>,
         header_names: &HeaderNames,
-        is_sent: &AtomicBool,
+        is_sent: &Arc<AtomicBool>,
         observe: impl FnOnce(&ResponseHead),
     ) -> Result<Self, Failure> {
-        let (head, request_was_sent) = exchange(&mut connection.socket, bytes, req.is_head_request, is_sent)
+        let mut upload = Upload::new(connection.socket.writer(), bytes, Arc::clone(is_sent));
+        let head = upload
+            .write_during(ResponseHead::read(&mut connection.socket, req.is_head_request))
             .await
             .map_err(|error| head_failure(&error, is_sent.load(Ordering::Relaxed)))?;
-        let response = Response { head, request_was_sent };
+        let response = Response { head, request_was_sent: upload.is_complete() };
         check_identity(&response.head, req, header_names)?;
         observe(&response.head);
         check_outcome(&response.head, header_names)?;
         let body = BodyReader::new(response.head.framing);
-        Ok(Self { connection, response, body })
+        Ok(Self { connection, response, upload, body })
+    }
+
+    /// Appends the next part of the body to `out`, which may be empty.
+    pub(crate) async fn read_some(&mut self, out: &mut Vec<u8>) -> Result<(), BodyError> {
+        let read = self.body.read_some(&mut self.connection.socket, out);
+        self.upload.write_during(read).await
+    }
+
+    /// Reads the rest of the body, as far as the limits of `lease` allow it.
+    pub(crate) async fn read_to_end(&mut self, lease: &mut BodyLease) -> Result<Vec<u8>, BodyError> {
+        let read = self.body.read_to_end(&mut self.connection.socket, lease);
+        self.upload.write_during(read).await
+    }
+
+    /// Returns whether the body was read to its end.
+    pub(crate) fn is_done(&self) -> bool {
+        self.body.is_done()
     }
 
     /// Returns whether the connection can be reused for another request.
@@ -77,52 +92,6 @@
     }
 }
 
-/// Writes the request and reads the response head concurrently, because a server may respond before it has read the whole
-/// request. Returns the head and whether the whole request was written.
-async fn exchange(
-    socket: &mut BufferedSocket,
-    bytes: &[u8],
-    to_head_request: bool,
-    is_sent: &AtomicBool,
-) -> Result<(ResponseHead, bool), ReadHeadError> {
-    let mut writer = socket.writer();
-    let mut write = pin!(write_all(&mut writer, bytes, is_sent));
-    let mut read = pin!(ResponseHead::read(socket, to_head_request));
-    // None until the write ends, then whether it succeeded.
-    let mut written: Option<bool> = None;
-    future::poll_fn(|cx| {
-        if written.is_none()
-            && let Poll::Ready(result) = write.as_mut().poll(cx)
-        {
-            // A server that responds early may shut down its read side. Its response is still valid.
-            if let Err(error) = &result {
-                log::debug!("backend: cannot write whole request: {error}");
-            }
-            written = Some(result.is_ok());
-        }
-        read.as_mut().poll(cx).map(|head| head.map(|head| (head, written == Some(true))))
-    })
-    .await
-}
-
-/// Writes `bytes` and sets `is_sent` as soon as the kernel has accepted some of them.
-async fn write_all(
-    writer: &mut (impl AsyncWrite + Unpin),
-    bytes: &[u8],
-    is_sent: &AtomicBool,
-) -> io::Result<()> {
-    let mut rest = bytes;
-    while !rest.is_empty() {
-        let n = writer.write(rest).await?;
-        if n == 0 {
-            return Err(io::ErrorKind::WriteZero.into());
-        }
-        is_sent.store(true, Ordering::Relaxed);
-        rest = &rest[n..];
-    }
-    Ok(())
-}
-
 /// Checks that the response belongs to the request and comes from the server that it was sent to.
 fn check_identity(
     head: &ResponseHead,
--- a/crates/fuchsiabay-gateway/src/backend/mod.rs
+++ b/crates/fuchsiabay-gateway/src/backend/mod.rs
@@ -5,6 +5,7 @@
 mod connection_pool;
 mod failure;
 mod outgoing;
+mod upload;
 
 pub(crate) use attempt::Attempt;
 pub(crate) use connection::Connection;
--- a/crates/fuchsiabay-gateway/src/request/buffered.rs
+++ b/crates/fuchsiabay-gateway/src/request/buffered.rs
@@ -50,7 +50,7 @@
         return Err(None);
     }
     let mut lease = forwarder.request.gateway.response_budget.lease();
-    let read = attempt.body.read_to_end(&mut attempt.connection.socket, &mut lease);
+    let read = attempt.read_to_end(&mut lease);
     let body = forwarder
         .request
         .until_interrupted(socket, read)
--- a/crates/fuchsiabay-gateway/src/request/forwarder/mod.rs
+++ b/crates/fuchsiabay-gateway/src/request/forwarder/mod.rs
@@ -3,7 +3,10 @@
 mod outcomes;
 mod retries;
 
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::sync::{
+    Arc,
+    atomic::{AtomicBool, Ordering},
+};
 
 use fuchsiabay_balancer::{Outcome, Quarantine};
 use fuchsiabay_base::{InstanceId, Timestamp, Verdict};
@@ -213,7 +216,7 @@
         let slow_at = self.slow_at();
         let this = &*self;
         let mut running = None;
-        let is_sent = AtomicBool::new(false);
+        let is_sent = Arc::new(AtomicBool::new(false));
         let attempt = async {
             let connections = &request.gateway.connections;
             let connection =
@@ -235,7 +238,7 @@
             running = Some(RunningAttempt::new(request, server, connection.opened_at));
             request_metrics::count_sent(&request.gateway.settings.zone, &server.zone);
             let observe = |head: &ResponseHead| record_statements(request, server, head);
-            Attempt::start(connection, this.outgoing, &bytes, header_names, &is_sent, observe).or(slow).await
+            Attempt::start(connection, this.outgoing, bytes, header_names, &is_sent, observe).or(slow).await
         };
         let result = request.until_interrupted(socket, attempt).await;
         self.has_taken_retry = matches!(&result, Ok(Err(failure)) if failure.kind == FailureKind::Slow);
--- a/crates/fuchsiabay-gateway/src/request/stream.rs
+++ b/crates/fuchsiabay-gateway/src/request/stream.rs
@@ -197,7 +197,7 @@
         let mut bytes = Vec::new();
         loop {
             bytes.clear();
-            if let Err(error) = attempt.body.read_some(&mut attempt.connection.socket, &mut bytes).await {
+            if let Err(error) = attempt.read_some(&mut bytes).await {
                 return SegmentEnd::Failed(error.failure_kind());
             }
             let mut events = Vec::new();
@@ -210,7 +210,7 @@
                     Err(_) => SegmentEnd::CallerGone,
                 };
             }
-            let is_last = attempt.body.is_done();
+            let is_last = attempt.is_done();
             if is_last && !self.splitter.is_at_boundary() {
                 return match self.write(request, attempt, &events, false).await {
                     Ok(()) => SegmentEnd::Failed(FailureKind::ConnectionLost),
--- a/crates/fuchsiabay-gateway/tests/early_responses.rs
+++ b/crates/fuchsiabay-gateway/tests/early_responses.rs
@@ -80,7 +80,9 @@
 // the connection, does not change that.
 cases! { check_complete:
     body_that_ends_in_order_is_relayed("/unsafe/a", BODY, EarlyEnd::ShutDown);
+    body_that_ends_after_the_upload_is_relayed("/unsafe/a", BODY, EarlyEnd::ShutDownAfterUpload);
     body_that_ends_before_a_reset_is_relayed("/unsafe/a", BODY, EarlyEnd::ShutDownAndClose);
     stream_that_ends_in_order_is_relayed("/once/a", EVENTS, EarlyEnd::ShutDown);
+    stream_that_ends_after_the_upload_is_relayed("/once/a", EVENTS, EarlyEnd::ShutDownAfterUpload);
     stream_that_ends_before_a_reset_is_relayed("/once/a", EVENTS, EarlyEnd::ShutDownAndClose);
 }
--- a/crates/fuchsiabay-gateway/tests/support/early_response.rs
+++ b/crates/fuchsiabay-gateway/tests/support/early_response.rs
@@ -3,7 +3,11 @@
 use std::time::Duration;
 
 use rustix::net::sockopt;
-use smol::{Timer, io::AsyncWriteExt, net::TcpStream};
+use smol::{
+    Timer,
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
 
 /// The time within which the upload of a long body fills the buffers of the kernel, and within which a peer notices what was
 /// sent.
@@ -16,6 +20,8 @@
     Reset,
     /// Resets the connection some time after the response.
     LateReset,
+    /// Reads the whole request, and then shuts down its write side.
+    ShutDownAfterUpload,
     /// Shuts down its write side, and keeps the connection open for some time.
     ShutDown,
     /// Shuts down its write side and closes the connection. The kernel then resets it, because parts of the request were not
@@ -32,7 +38,8 @@
 }
 
 impl EarlyResponse {
-    pub(super) async fn send(&self, mut stream: TcpStream, id: &str) {
+    /// Responds to a request of which `unread_bytes` were not read yet.
+    pub(super) async fn send(&self, mut stream: TcpStream, id: &str, unread_bytes: usize) {
         Timer::after(PAUSE).await;
         let bytes = self.bytes.replace("{id}", id);
         // The response fits into the buffer of the kernel, so a reset that follows at once arrives together with it.
@@ -45,6 +52,11 @@
                 Timer::after(PAUSE).await;
                 reset(&stream);
             }
+            EarlyEnd::ShutDownAfterUpload => {
+                if stream.read_exact(&mut vec![0; unread_bytes]).await.is_ok() {
+                    let _ = stream.close().await;
+                }
+            }
             EarlyEnd::ShutDown => {
                 let _ = stream.close().await;
                 Timer::after(PAUSE).await;
--- a/crates/fuchsiabay-gateway/tests/support/server.rs
+++ b/crates/fuchsiabay-gateway/tests/support/server.rs
@@ -85,6 +85,10 @@
             self.head.lines().find(|line| line.to_ascii_lowercase().starts_with(&format!("{name}:")))?;
         Some(line.split_once(':')?.1.trim().to_owned())
     }
+
+    fn content_length(&self) -> usize {
+        self.header("content-length").map_or(0, |length| length.parse().unwrap())
+    }
 }
 
 /// The behaviour for each request. Servers may share a script.
@@ -151,8 +155,9 @@
             if script.len() > 1 { script.pop_front().unwrap() } else { script.front().unwrap().clone() }
         };
         if let Behaviour::Early(response) = &behaviour {
+            let unread_bytes = received.content_length().saturating_sub(buf.len());
             state.received.lock().unwrap().push(received);
-            return response.send(stream, &id).await;
+            return response.send(stream, &id, unread_bytes).await;
         }
         if read_body(&mut stream, &mut buf, &mut received).await.is_none() {
             return;
@@ -338,7 +343,7 @@
 }
 
 async fn read_body(stream: &mut TcpStream, buf: &mut Vec<u8>, received: &mut Received) -> Option<()> {
-    let length = received.header("content-length").map_or(0, |length| length.parse().unwrap());
+    let length = received.content_length();
     while buf.len() < length {
         fill(stream, buf).await?;
     }
