Read the response to an own call while the call is being written

A call of the gateway itself, to the store or an engine, failed although the server had sent a complete response: the server responded at once to a long body, without a length, and ended its response in order without having read the whole body.

Cause: HttpClient wrote the whole call before it read. Once the server had closed its side, the write failed with EPIPE and the response was not read. Part of a response was not taken as the whole one, because the failed write ended the call.

HttpClient uses Upload now, which therefore moves to the HTTP module. The error of a write reaches the reader, so a reset still fails the call. A connection is kept only if the whole call was written.

Tests: response_that_ends_in_order_completes_a_call and response_that_ends_before_a_reset_completes_a_call failed before (Broken pipe, in the first of ten rounds) and pass now; the other three cases of own calls passed before and pass now.

--- a/crates/fuchsiabay-gateway/src/backend/attempt.rs
+++ b/crates/fuchsiabay-gateway/src/backend/attempt.rs
@@ -5,11 +5,11 @@
     atomic::{AtomicBool, Ordering},
 };
 
-use super::{Connection, Failure, FailureKind, OutgoingRequest, upload::Upload};
+use super::{Connection, Failure, FailureKind, OutgoingRequest};
 use crate::{
     HeaderNames,
     body_budget::BodyLease,
-    http::{BodyError, BodyReader, ReadHeadError, ResponseHead},
+    http::{BodyError, BodyReader, ReadHeadError, ResponseHead, Upload},
 };
 
 /// An attempt whose response head was received.
--- a/crates/fuchsiabay-gateway/src/backend/mod.rs
+++ b/crates/fuchsiabay-gateway/src/backend/mod.rs
@@ -5,7 +5,6 @@
 mod connection_pool;
 mod failure;
 mod outgoing;
-mod upload;
 
 pub(crate) use attempt::Attempt;
 pub(crate) use connection::Connection;
--- a/crates/fuchsiabay-gateway/src/client.rs
+++ b/crates/fuchsiabay-gateway/src/client.rs
@@ -1,6 +1,6 @@
 //! HTTP client for the gateway's own calls, to the store and to engines.
 
-use std::{io, net::SocketAddr};
+use std::{io, net::SocketAddr, sync::Arc};
 
 use fuchsiabay_base::{Timestamp, Verdict};
 use fuchsiabay_runtime::{monotonic_now, sleep_until};
@@ -8,7 +8,7 @@
 use smol::net::TcpStream;
 
 use crate::body_budget::{BodyBudget, BodyLease, CALL_LIMITS, STORE_LIMITS};
-use crate::http::{BodyError, BodyReader, BufferedSocket, Headers, ReadHeadError, ResponseHead};
+use crate::http::{BodyError, BodyReader, BufferedSocket, Headers, ReadHeadError, ResponseHead, Upload};
 
 /// Why a call returned no response.
 #[derive(Debug)]
@@ -97,7 +97,7 @@
     /// Sends a GET request for `target`.
     pub async fn get(&mut self, target: &str, deadline: Timestamp) -> Result<CallResponse, CallError> {
         let head = format!("GET {target} HTTP/1.1\r\nHost: {}\r\n\r\n", self.addr);
-        self.call(head.as_bytes(), deadline).await
+        self.call(head.into_bytes(), deadline).await
     }
 
     /// Sends `body` to `target` in a POST request.
@@ -127,10 +127,10 @@
         )
         .into_bytes();
         bytes.extend_from_slice(body);
-        self.call(&bytes, deadline).await
+        self.call(bytes, deadline).await
     }
 
-    async fn call(&mut self, bytes: &[u8], deadline: Timestamp) -> Result<CallResponse, CallError> {
+    async fn call(&mut self, bytes: Vec<u8>, deadline: Timestamp) -> Result<CallResponse, CallError> {
         if monotonic_now() >= deadline {
             return Err(CallError::DeadlinePassed);
         }
@@ -149,28 +149,36 @@
 async fn exchange(
     addr: SocketAddr,
     idle: Option<BufferedSocket>,
-    bytes: &[u8],
+    bytes: Vec<u8>,
     mut lease: BodyLease,
 ) -> Result<(CallResponse, Option<BufferedSocket>), CallError> {
     let mut socket = match reusable_socket(idle).await {
         Some(socket) => socket,
         None => BufferedSocket::new(TcpStream::connect(addr).await.map_err(CallError::Connect)?),
     };
-    socket.write_all(bytes).await.map_err(CallError::Io)?;
-    let head = ResponseHead::read(&mut socket, false).await.map_err(|error| match error {
+    let mut upload = Upload::new(socket.writer(), bytes, Arc::default());
+    let (head, body) = upload.write_during(read_response(&mut socket, &mut lease)).await?;
+    let keep = upload.is_complete() && head.keeps_alive && socket.buffered().is_empty();
+    socket.release_buffer();
+    let response = CallResponse { status: head.status, body, headers: head.headers };
+    Ok((response, keep.then_some(socket)))
+}
+
+async fn read_response(
+    socket: &mut BufferedSocket,
+    lease: &mut BodyLease,
+) -> Result<(ResponseHead, Vec<u8>), CallError> {
+    let head = ResponseHead::read(socket, false).await.map_err(|error| match error {
         ReadHeadError::Io(error) => CallError::Io(error),
         ReadHeadError::Closed => CallError::Io(io::ErrorKind::UnexpectedEof.into()),
         ReadHeadError::Head(error) => CallError::Malformed(error.to_string()),
     })?;
     let mut body = BodyReader::new(head.framing);
-    let bytes = body.read_to_end(&mut socket, &mut lease).await.map_err(|error| match error {
+    let bytes = body.read_to_end(socket, lease).await.map_err(|error| match error {
         BodyError::Io(error) => CallError::Io(error),
         error => CallError::Malformed(error.to_string()),
     })?;
-    let keep = head.keeps_alive && socket.buffered().is_empty();
-    socket.release_buffer();
-    let response = CallResponse { status: head.status, body: bytes, headers: head.headers };
-    Ok((response, keep.then_some(socket)))
+    Ok((head, bytes))
 }
 
 /// Returns the idle connection unless its peer has closed it or sent data.
--- a/crates/fuchsiabay-gateway/src/http/mod.rs
+++ b/crates/fuchsiabay-gateway/src/http/mod.rs
@@ -8,6 +8,7 @@
 mod request_head;
 mod response_head;
 mod socket_writer;
+mod upload;
 
 pub(crate) use body::{BodyError, BodyReader};
 pub(crate) use buffered_socket::BufferedSocket;
@@ -17,3 +18,4 @@
 pub(crate) use request_head::RequestHead;
 pub(crate) use response_head::{ReadHeadError, ResponseHead};
 pub(crate) use socket_writer::SocketWriter;
+pub(crate) use upload::Upload;
--- a/crates/fuchsiabay-gateway/src/backend/upload.rs
+++ b/crates/fuchsiabay-gateway/src/http/upload.rs
@@ -14,14 +14,13 @@
 use futures_lite::future;
 use smol::io::AsyncWrite;
 
-use crate::http::SocketWriter;
+use super::SocketWriter;
 
 /// A request that is being written to a server. The server may respond before it has read the whole request, and may need the
 /// rest of it to end its response.
 #[derive(Debug)]
-pub(super) struct Upload {
+pub(crate) struct Upload {
     writer: SocketWriter,
-    /// Set as soon as the kernel has accepted some of the request.
     is_sent: Arc<AtomicBool>,
     state: State,
 }
@@ -34,17 +33,18 @@
 }
 
 impl Upload {
-    pub(super) fn new(writer: SocketWriter, bytes: Vec<u8>, is_sent: Arc<AtomicBool>) -> Self {
+    /// Creates the upload of `bytes`. Sets `is_sent` as soon as the kernel has accepted some of them.
+    pub(crate) fn new(writer: SocketWriter, bytes: Vec<u8>, is_sent: Arc<AtomicBool>) -> Self {
         Self { writer, is_sent, state: State::Writing { bytes, accepted: 0 } }
     }
 
     /// Returns whether the whole request was written.
-    pub(super) fn is_complete(&self) -> bool {
+    pub(crate) fn is_complete(&self) -> bool {
         matches!(self.state, State::Complete)
     }
 
     /// Runs `read` to its end, and writes until then what the server accepts.
-    pub(super) async fn write_during<T>(&mut self, read: impl Future<Output = T>) -> T {
+    pub(crate) async fn write_during<T>(&mut self, read: impl Future<Output = T>) -> T {
         let mut read = pin!(read);
         future::poll_fn(|cx| {
             self.write(cx);
@@ -60,7 +60,7 @@
                 Ok(()) => State::Complete,
                 Err(error) => {
                     // A server that responds early may not read the rest of the request. Its response is still valid.
-                    log::debug!("backend: cannot write whole request: {error}");
+                    log::debug!("upload: cannot write whole request: {error}");
                     State::Failed
                 }
             };
--- a/crates/fuchsiabay-gateway/tests/early_responses.rs
+++ b/crates/fuchsiabay-gateway/tests/early_responses.rs
@@ -5,8 +5,12 @@
 mod cases;
 mod support;
 
+use std::sync::{Arc, Mutex};
+
 use fuchsiabay_balancer::ServingConfig;
-use support::{Behaviour, EarlyEnd, EarlyResponse, Harness, harness, platform::FakePlatform};
+use fuchsiabay_gateway::{CallError, CallResponse, HttpClient};
+use fuchsiabay_runtime::monotonic_now;
+use support::{Behaviour, EarlyEnd, EarlyResponse, FakeServer, Harness, harness, platform::FakePlatform};
 
 /// More than the kernel buffers for a server that does not read, so that the request is still being written.
 const UPLOAD_BYTES: usize = 8 << 20;
@@ -14,6 +18,9 @@
 /// How often each case is tried. Whether the end of a connection is seen first by the reader or by the writer depends on timing.
 const ROUNDS: usize = 10;
 
+/// The timeout of an own call, in milliseconds. It passes only if something hangs.
+const CALL_TIMEOUT_MS: u64 = 10_000;
+
 const BODY: &str = "HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\n\r\nthe body";
 const EVENTS: &str = "HTTP/1.1 200 OK\r\nX-Call: {id}\r\nX-Stamp: s\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: e1\n\n";
 
@@ -86,3 +93,38 @@
     stream_that_ends_after_the_upload_is_relayed("/once/a", EVENTS, EarlyEnd::ShutDownAfterUpload);
     stream_that_ends_before_a_reset_is_relayed("/once/a", EVENTS, EarlyEnd::ShutDownAndClose);
 }
+
+/// Sends a long body in a call of the gateway itself.
+async fn call(end: EarlyEnd) -> Result<CallResponse, CallError> {
+    let script = [Behaviour::Early(EarlyResponse { bytes: BODY, end })].into();
+    let server = FakeServer::start(Arc::new(Mutex::new(script))).await;
+    let deadline = monotonic_now().plus_millis(CALL_TIMEOUT_MS);
+    HttpClient::new(server.addr).post("/", "text/plain", &vec![b'x'; UPLOAD_BYTES], deadline).await
+}
+
+async fn check_failed_call(end: EarlyEnd) {
+    for round in 0..ROUNDS {
+        let response = call(end).await;
+        assert!(matches!(response, Err(CallError::Io(_))), "round {round}: {response:?}");
+    }
+}
+
+async fn check_complete_call(end: EarlyEnd) {
+    for round in 0..ROUNDS {
+        let response = call(end).await.map(|response| response.body);
+        assert!(matches!(response.as_deref(), Ok(b"the body")), "round {round}: {response:?}");
+    }
+}
+
+// Guards against part of a response that is taken as the whole response to an own call.
+cases! { check_failed_call:
+    reset_response_fails_a_call(EarlyEnd::Reset);
+    response_that_is_reset_later_fails_a_call(EarlyEnd::LateReset);
+}
+
+// Guards against losing the response to an own call, because its server has not read the whole request.
+cases! { check_complete_call:
+    response_that_ends_in_order_completes_a_call(EarlyEnd::ShutDown);
+    response_that_ends_before_a_reset_completes_a_call(EarlyEnd::ShutDownAndClose);
+    response_that_ends_after_the_upload_completes_a_call(EarlyEnd::ShutDownAfterUpload);
+}
