Write the request of the gateway tests in one place

Seven test files had the same GET request, and three the same function that returns its status. Both stand in the support module now. No check changes.

--- a/crates/fuchsiabay-gateway/tests/cold_servers.rs
+++ b/crates/fuchsiabay-gateway/tests/cold_servers.rs
@@ -31,9 +31,7 @@
     let addr = harness.gateway.listen_addr();
     let calls: Vec<_> = (0..3)
         .map(|i| {
-            let req = format!(
-                "GET /safe/a HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Call: c{i}\r\nX-Left: 950\r\n\r\n"
-            );
+            let req = support::get_request("/safe/a", &format!("c{i}"), 950);
             smol::spawn(async move { support::Caller::connect(addr).await.round_trip(req.as_bytes()).await })
         })
         .collect();
--- a/crates/fuchsiabay-gateway/tests/invalid_heads.rs
+++ b/crates/fuchsiabay-gateway/tests/invalid_heads.rs
@@ -32,22 +32,14 @@
 /// another server.
 async fn check_relayed(response: &'static str) {
     let harness = Harness::start(1, &[Behaviour::Raw(response)]).await;
-    assert_eq!(status(&harness, "/unsafe/a").await, 502);
+    assert_eq!(harness.get_status("/unsafe/a", "c1").await, 502);
     let harness = Harness::start(1, &[Behaviour::Raw(response)]).await;
-    assert_eq!(status(&harness, "/once/a").await, 502);
+    assert_eq!(harness.get_status("/once/a", "c1").await, 502);
     let harness = Harness::start(2, &[Behaviour::Raw(response), Behaviour::Respond("whole")]).await;
-    assert_eq!(status(&harness, "/safe/a").await, 200);
+    assert_eq!(harness.get_status("/safe/a", "c1").await, 200);
     assert_eq!(harness.received(), 2);
 }
 
-async fn status(harness: &Harness, path: &str) -> u16 {
-    let request = format!(
-        "GET {path} HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Call: c1\r\nX-Left: 900\r\n\r\n"
-    );
-    let response = harness.caller().await.round_trip(request.as_bytes()).await;
-    response.map_or(0, |response| response.status)
-}
-
 // Guards against a response that is relayed although it is not valid HTTP.
 cases! { check_relayed:
     status_000_is_not_relayed(
--- a/crates/fuchsiabay-gateway/tests/misbehaving_servers.rs
+++ b/crates/fuchsiabay-gateway/tests/misbehaving_servers.rs
@@ -21,14 +21,7 @@
 const CLOSE_MS: u64 = 1_500;
 
 fn request(path: &str, id: &str) -> String {
-    format!(
-        "GET {path} HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Call: {id}\r\nX-Left: 900\r\n\r\n"
-    )
-}
-
-async fn status(harness: &Harness, path: &str, id: &str) -> u16 {
-    let response = harness.caller().await.round_trip(request(path, id).as_bytes()).await;
-    response.map_or(0, |response| response.status)
+    support::get_request(path, id, 900)
 }
 
 /// Sends a request to a server that sends `head` and then `repeated` without end. Checks that the caller is told in time that
@@ -36,7 +29,7 @@
 async fn check(path: &str, head: &'static str, repeated: &'static str) {
     let harness = Harness::start(1, &[Behaviour::Endless { head, repeated }]).await;
     let started = Instant::now();
-    let status = status(&harness, path, "c1").await;
+    let status = harness.get_status(path, "c1").await;
     assert!([502, 504].contains(&status), "status {status}");
     while harness.servers[0].cancelled() == 0 {
         assert!(started.elapsed() < Duration::from_millis(CLOSE_MS), "the connection is still open");
@@ -150,7 +143,7 @@
             [Behaviour::FullWithoutId, Behaviour::StatusWithoutId(400), Behaviour::StatusWithoutId(500)]
         {
             let harness = Harness::start(1, &[behaviour.clone(), OK]).await;
-            assert_eq!(status(&harness, "/unsafe/a", "c1").await, 502, "{behaviour:?}");
+            assert_eq!(harness.get_status("/unsafe/a", "c1").await, 502, "{behaviour:?}");
         }
     });
 }
--- a/crates/fuchsiabay-gateway/tests/refused_connections.rs
+++ b/crates/fuchsiabay-gateway/tests/refused_connections.rs
@@ -49,9 +49,7 @@
     *platform.servers.lock().unwrap() = held.iter().enumerate().map(record_of).collect();
     let harness = Harness::start_with(platform, vec![], &[]).await;
     harness.wait_until_ready().await;
-    let request = format!(
-        "GET {path} HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Call: c1\r\nX-Left: {left_ms}\r\n\r\n"
-    );
+    let request = support::get_request(path, "c1", left_ms);
     let response = harness.caller().await.round_trip(request.as_bytes()).await;
     assert_eq!(response.map_or(0, |response| response.status), status);
 }
--- a/crates/fuchsiabay-gateway/tests/server_limits.rs
+++ b/crates/fuchsiabay-gateway/tests/server_limits.rs
@@ -34,9 +34,7 @@
             let addr = harness.gateway.listen_addr();
             n += 1;
             tasks.push(smol::spawn(async move {
-                let req = format!(
-                    "GET /safe/a HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Call: c{n}\r\nX-Left: 900\r\n\r\n"
-                );
+                let req = support::get_request("/safe/a", &format!("c{n}"), 900);
                 let res = support::Caller::connect(addr).await.round_trip(req.as_bytes()).await;
                 usize::from(res.is_some_and(|res| res.status == 200))
             }));
--- a/crates/fuchsiabay-gateway/tests/server_statements.rs
+++ b/crates/fuchsiabay-gateway/tests/server_statements.rs
@@ -41,9 +41,7 @@
 }
 
 async fn send_to(addr: SocketAddr, path: &str) -> Response {
-    let req = format!(
-        "GET {path} HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Call: c1\r\nX-Left: 900\r\n\r\n"
-    );
+    let req = support::get_request(path, "c1", 900);
     Caller::connect(addr).await.round_trip(req.as_bytes()).await.expect("a response")
 }
 
--- a/crates/fuchsiabay-gateway/tests/support/caller.rs
+++ b/crates/fuchsiabay-gateway/tests/support/caller.rs
@@ -35,6 +35,13 @@
     }
 }
 
+/// Returns a GET request of the workspace of the fake configuration, whose caller waits for `left_ms`.
+pub fn get_request(path: &str, id: &str, left_ms: u64) -> String {
+    format!(
+        "GET {path} HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Call: {id}\r\nX-Left: {left_ms}\r\n\r\n"
+    )
+}
+
 impl Caller {
     pub async fn connect(addr: SocketAddr) -> Self {
         Self {
--- a/crates/fuchsiabay-gateway/tests/support/harness.rs
+++ b/crates/fuchsiabay-gateway/tests/support/harness.rs
@@ -16,7 +16,7 @@
 use fuchsiabay_wire::SharedKey;
 use smol::Timer;
 
-use super::{Behaviour, Caller, FakeServer, platform::FakePlatform, server::Script};
+use super::{Behaviour, Caller, FakeServer, caller::get_request, platform::FakePlatform, server::Script};
 
 /// Header names that no deployment uses, so that a test fails if the library hard-codes a name.
 pub static HEADER_NAMES: HeaderNames = HeaderNames {
@@ -37,6 +37,9 @@
     priority: "X-Priority",
 };
 
+/// The time that the caller of [`Harness::get_status`] waits for the response, in milliseconds.
+const GET_LEFT_MS: u64 = 900;
+
 /// The live settings that the gateway starts with.
 pub const LIVE: LiveSettings = LiveSettings {
     retries: RetryLimits { ratio: 0.2, slack: 90, window_ms: 10_000 },
@@ -223,6 +226,13 @@
         Caller::connect(self.gateway.listen_addr()).await
     }
 
+    /// Sends a GET request for `path` with the given id. Returns the status of the response, 0 if there is none.
+    pub async fn get_status(&self, path: &str, id: &str) -> u16 {
+        let req = get_request(path, id, GET_LEFT_MS);
+        let response = self.caller().await.round_trip(req.as_bytes()).await;
+        response.map_or(0, |response| response.status)
+    }
+
     pub fn received(&self) -> usize {
         self.servers.iter().map(|server| server.received().len()).sum()
     }
--- a/crates/fuchsiabay-gateway/tests/support/mod.rs
+++ b/crates/fuchsiabay-gateway/tests/support/mod.rs
@@ -10,7 +10,7 @@
 pub mod platform;
 pub mod server;
 
-pub use caller::{Caller, Response};
+pub use caller::{Caller, Response, get_request};
 pub use early_response::{EarlyEnd, EarlyResponse};
 pub use harness::{HEADER_NAMES, Harness, route};
 pub use server::{Behaviour, FakeServer};
--- a/crates/fuchsiabay-gateway/tests/verdicts.rs
+++ b/crates/fuchsiabay-gateway/tests/verdicts.rs
@@ -22,16 +22,8 @@
     check_at(&harness, "/safe/a", 200, 2).await;
 }
 
-async fn request_status(harness: &Harness, path: &str) -> u16 {
-    let request = format!(
-        "GET {path} HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Call: c1\r\nX-Left: 900\r\n\r\n"
-    );
-    let response = harness.caller().await.round_trip(request.as_bytes()).await;
-    response.map_or(0, |response| response.status)
-}
-
 async fn check_at(harness: &Harness, path: &str, status: u16, sent: usize) {
-    let got = request_status(harness, path).await;
+    let got = harness.get_status(path, "c1").await;
     assert_eq!((got, harness.received()), (status, sent));
 }
 
