--- a/crates/fuchsiabay-gateway/tests/invalid_heads.rs
+++ b/crates/fuchsiabay-gateway/tests/invalid_heads.rs
@@ -28,9 +28,9 @@
     call(format!("HTTP/1.1 200 OK\r\n{line}\r\nContent-Length: 4\r\n\r\nbody")).await
 }
 
-/// Checks that a caller on an unsafe route does not receive `response`, and that one on a safe route receives the response of
+/// Checks that callers on an unsafe route and of a stream do not receive `response`, and that one on a safe route receives that of
 /// another server.
-async fn check_relayed(response: &'static str) {
+async fn check_rejected(response: &'static str) {
     let harness = Harness::start(1, &[Behaviour::Raw(response)]).await;
     assert_eq!(harness.get_status("/unsafe/a", "c1").await, 502);
     let harness = Harness::start(1, &[Behaviour::Raw(response)]).await;
@@ -41,7 +41,7 @@
 }
 
 // Guards against a response that is relayed although it is not valid HTTP.
-cases! { check_relayed:
+cases! { check_rejected:
     status_000_is_not_relayed(
         "HTTP/1.1 000 S\r\nX-Call: {id}\r\nX-Stamp: s\r\nContent-Length: 4\r\n\r\nfail");
     status_000_is_no_interim_response(
