--- a/crates/fuchsiabay-runtime/tests/broken_responses.rs
+++ b/crates/fuchsiabay-runtime/tests/broken_responses.rs
@@ -10,7 +10,7 @@
 
 use fuchsiabay_runtime::{LogClient, LogError, monotonic_now};
 
-/// The size of the record, larger than any that the daemons append.
+/// The size of the record. The buffers of the kernel hold it, so that the client can write it while the service reads nothing.
 const RECORD_BYTES: usize = 700_000;
 
 /// The time within which the client writes what the kernel accepts.
