Keep the ports of the servers that refuse connections in a test

The test took a port, closed its listener and expected that connections to it are refused; meanwhile another listener could get the port.

A socket that is bound and does not listen holds the port now and refuses connections.

--- a/crates/fuchsiabay-gateway/tests/refused_connections.rs
+++ b/crates/fuchsiabay-gateway/tests/refused_connections.rs
@@ -5,10 +5,13 @@
 mod cases;
 mod support;
 
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::{
+    net::{SocketAddr, TcpListener, TcpStream},
+    os::fd::OwnedFd,
+};
 
 use fuchsiabay_balancer::ServerRecord;
-use rustix::net;
+use rustix::net::{self, AddressFamily, SocketType};
 use support::{
     FakeServer, Harness,
     harness::{config, record},
@@ -24,16 +27,23 @@
     Full,
 }
 
-/// Returns an address in this state, and what keeps it there.
-fn hold(address: Address) -> (SocketAddr, Option<(TcpListener, TcpStream)>) {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let addr = listener.local_addr().unwrap();
+/// Returns an address in this state, and the sockets that keep it there.
+fn hold(address: Address) -> (SocketAddr, Vec<OwnedFd>) {
+    let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
     match address {
-        Address::Closed => (addr, None),
+        Address::Closed => {
+            // A socket that is bound and does not listen refuses connections, and keeps the port from other listeners.
+            let bound = net::socket(AddressFamily::INET, SocketType::STREAM, None).unwrap();
+            net::bind(&bound, &any).unwrap();
+            let addr = net::getsockname(&bound).unwrap().try_into().unwrap();
+            (addr, vec![bound])
+        }
         Address::Full => {
+            let listener = TcpListener::bind(any).unwrap();
+            let addr = listener.local_addr().unwrap();
             net::listen(&listener, 0).unwrap();
             let first = TcpStream::connect(addr).unwrap();
-            (addr, Some((listener, first)))
+            (addr, vec![listener.into(), first.into()])
         }
     }
 }
