Keep the connection of a server that responds while the upload stalls

Callers got 502, or a stream that was cut off, although the server would have sent a complete response: it responded at once to a long upload, read nothing more, and ended its response in order 2.5 s later.

Cause: the kernel closes a connection whose peer has not accepted written bytes for TCP_USER_TIMEOUT, 1.5 s, also if the peer is alive and only does not read.

The timeout is there to notice servers that have lost power. It is disabled once a response has begun before the request was written, which shows that the server is alive; the deadline of the request still bounds the attempt, and such a connection is not reused. A server that loses power after that is noticed only at the deadline. All other requests keep the timeout.

--- a/crates/fuchsiabay-gateway/src/backend/attempt.rs
+++ b/crates/fuchsiabay-gateway/src/backend/attempt.rs
@@ -47,6 +47,10 @@
             .write_during(ResponseHead::read(&mut connection.socket, req.is_head_request))
             .await
             .map_err(|error| head_failure(&error, is_sent.load(Ordering::Relaxed)))?;
+        if !upload.is_complete() {
+            // The server may end its response without reading the rest of the request. The request has a deadline.
+            connection.socket.disable_user_timeout();
+        }
         let response = Response { head, request_was_sent: upload.is_complete() };
         check_identity(&response.head, req, header_names)?;
         observe(&response.head);
--- a/crates/fuchsiabay-gateway/src/http/buffered_socket.rs
+++ b/crates/fuchsiabay-gateway/src/http/buffered_socket.rs
@@ -121,6 +121,16 @@
         future::poll_once(self.stream.read(&mut byte)).await.is_none()
     }
 
+    /// Keeps the connection open however long the peer reads nothing. A peer that has lost power is then not noticed while
+    /// written bytes wait for it.
+    ///
+    /// The user timeout of the kernel also closes a connection to a peer that is alive and does not read.
+    pub(crate) fn disable_user_timeout(&self) {
+        if let Err(error) = sockopt::set_tcp_user_timeout(&self.stream, 0) {
+            log::debug!("socket: cannot disable user timeout: {error}");
+        }
+    }
+
     /// Writes all of `bytes`.
     pub(crate) async fn write_all(&mut self, bytes: &[u8]) -> io::Result<()> {
         self.writer.write_all(bytes).await
--- a/crates/fuchsiabay-gateway/tests/early_responses.rs
+++ b/crates/fuchsiabay-gateway/tests/early_responses.rs
@@ -33,13 +33,13 @@
     Harness::start_on(FakePlatform::default(), config, servers, script).await
 }
 
-/// Uploads a long body. Returns the status and the body of the response that the caller takes as complete, if any.
-async fn upload(harness: &Harness, path: &str) -> Option<(u16, String)> {
+/// Uploads a body. Returns the status and the body of the response that the caller takes as complete, if any.
+async fn upload(harness: &Harness, path: &str, body_bytes: usize) -> Option<(u16, String)> {
     let head = format!(
-        "POST {path} HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Call: c1\r\nX-Left: {REQUEST_TIMEOUT_MS}\r\nContent-Length: {UPLOAD_BYTES}\r\n\r\n"
+        "POST {path} HTTP/1.1\r\nHost: h.example\r\nAuthorization: Bearer k\r\nX-Call: c1\r\nX-Left: {REQUEST_TIMEOUT_MS}\r\nContent-Length: {body_bytes}\r\n\r\n"
     );
     let mut bytes = head.into_bytes();
-    bytes.resize(bytes.len() + UPLOAD_BYTES, b'x');
+    bytes.resize(bytes.len() + body_bytes, b'x');
     let response = harness.caller().await.round_trip(&bytes).await?;
     let body = String::from_utf8(response.body).expect("the body is UTF-8");
     response.is_complete.then_some((response.status, body))
@@ -50,7 +50,7 @@
     for round in 0..ROUNDS {
         let reset = Behaviour::Early(EarlyResponse { bytes, end });
         let harness = start(1, &[reset]).await;
-        let response = upload(&harness, path).await;
+        let response = upload(&harness, path, UPLOAD_BYTES).await;
         assert!(response.as_ref().is_none_or(|(status, _)| *status == 502), "round {round}: {response:?}");
         assert_eq!(harness.received(), 1);
     }
@@ -71,21 +71,24 @@
     smol::block_on(async {
         let reset = Behaviour::Early(EarlyResponse { bytes: BODY, end: EarlyEnd::Reset });
         let harness = start(2, &[reset, Behaviour::Respond("whole")]).await;
-        assert_eq!(upload(&harness, "/safe/a").await, Some((200, "whole".to_owned())));
+        assert_eq!(upload(&harness, "/safe/a", UPLOAD_BYTES).await, Some((200, "whole".to_owned())));
         assert_eq!(harness.received(), 2);
     });
 }
 
 /// Checks that the caller receives the whole response.
 async fn check_complete(path: &str, bytes: &'static str, end: EarlyEnd) {
-    let body = bytes.split_once("\r\n\r\n").unwrap().1;
-    for round in 0..ROUNDS {
-        let harness = start(1, &[Behaviour::Early(EarlyResponse { bytes, end })]).await;
-        let response = upload(&harness, path).await;
-        assert_eq!(response, Some((200, body.to_owned())), "round {round}");
+    for _ in 0..ROUNDS {
+        check_complete_once(path, bytes, end, UPLOAD_BYTES).await;
     }
 }
 
+async fn check_complete_once(path: &str, bytes: &'static str, end: EarlyEnd, body_bytes: usize) {
+    let body = bytes.split_once("\r\n\r\n").unwrap().1;
+    let harness = start(1, &[Behaviour::Early(EarlyResponse { bytes, end })]).await;
+    assert_eq!(upload(&harness, path, body_bytes).await, Some((200, body.to_owned())));
+}
+
 // Guards against rejecting a response that the server has ended in order. What it does with the rest of the request, and with
 // the connection, does not change that.
 cases! { check_complete:
@@ -97,6 +100,12 @@
     stream_that_ends_before_a_reset_is_relayed("/once/a", EVENTS, EarlyEnd::ShutDownAndClose);
 }
 
+// Guards against closing the connection of a server that is responding, because it does not read the request meanwhile.
+cases! { check_complete_once:
+    slow_body_is_relayed_while_the_upload_stalls("/unsafe/a", BODY, EarlyEnd::SlowShutDown, UPLOAD_BYTES);
+    slow_stream_is_relayed_while_the_upload_stalls("/once/a", EVENTS, EarlyEnd::SlowShutDown, UPLOAD_BYTES);
+}
+
 /// Sends a long body in a call of the gateway itself.
 async fn call(end: EarlyEnd) -> Result<CallResponse, CallError> {
     let script = [Behaviour::Early(EarlyResponse { bytes: BODY, end })].into();
--- a/crates/fuchsiabay-gateway/tests/support/early_response.rs
+++ b/crates/fuchsiabay-gateway/tests/support/early_response.rs
@@ -13,6 +13,9 @@
 /// sent.
 const PAUSE: Duration = Duration::from_millis(60);
 
+/// A pause that exceeds the time within which the kernel closes a connection to a peer that has lost power.
+const LONG_PAUSE: Duration = Duration::from_millis(2_500);
+
 /// How the server ends its response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EarlyEnd {
@@ -24,6 +27,8 @@
     ShutDownAfterUpload,
     /// Shuts down its write side, and keeps the connection open for some time.
     ShutDown,
+    /// Does the same, after a long pause before the last byte of the response.
+    SlowShutDown,
     /// Shuts down its write side and closes the connection. The kernel then resets it, because parts of the request were not
     /// read.
     ShutDownAndClose,
@@ -42,8 +47,17 @@
     pub(super) async fn send(&self, mut stream: TcpStream, id: &str, unread_bytes: usize) {
         Timer::after(PAUSE).await;
         let bytes = self.bytes.replace("{id}", id);
+        let mut rest = bytes.as_bytes();
+        if self.end == EarlyEnd::SlowShutDown {
+            let (start, last_byte) = rest.split_at(rest.len() - 1);
+            if stream.write_all(start).await.is_err() {
+                return;
+            }
+            Timer::after(LONG_PAUSE).await;
+            rest = last_byte;
+        }
         // The response fits into the buffer of the kernel, so a reset that follows at once arrives together with it.
-        if stream.write_all(bytes.as_bytes()).await.is_err() {
+        if stream.write_all(rest).await.is_err() {
             return;
         }
         match self.end {
@@ -57,7 +71,7 @@
                     let _ = stream.close().await;
                 }
             }
-            EarlyEnd::ShutDown => {
+            EarlyEnd::ShutDown | EarlyEnd::SlowShutDown => {
                 let _ = stream.close().await;
                 Timer::after(PAUSE).await;
             }
