List a response that is lost while the kernel holds its request

A complete response is answered with 502 if its server reads nothing of a request of 1 MiB and takes 2.5 s to end its response: the kernel holds the rest of the request, and its user timeout closes the connection to the server, which is alive. The gateway cannot see what the kernel holds, and the timeout is needed to notice servers that lose power.

--- a/crates/fuchsiabay-gateway/tests/early_responses.rs
+++ b/crates/fuchsiabay-gateway/tests/early_responses.rs
@@ -15,6 +15,10 @@
 /// More than the kernel buffers for a server that does not read, so that the request is still being written.
 const UPLOAD_BYTES: usize = 8 << 20;
 
+/// More than the kernel of a server holds that does not read, and less than the two kernels hold together. The whole request is
+/// written at once, and part of it waits in the kernel of the gateway.
+const BUFFERED_UPLOAD_BYTES: usize = 1 << 20;
+
 /// The timeout of a request, in milliseconds. It passes only if something hangs.
 const REQUEST_TIMEOUT_MS: u64 = 10_000;
 
@@ -103,6 +107,7 @@
 // Guards against closing the connection of a server that is responding, because it does not read the request meanwhile.
 cases! { check_complete_once:
     slow_body_is_relayed_while_the_upload_stalls("/unsafe/a", BODY, EarlyEnd::SlowShutDown, UPLOAD_BYTES);
+    slow_body_is_relayed_while_the_kernel_holds_the_upload("/unsafe/a", BODY, EarlyEnd::SlowShutDown, BUFFERED_UPLOAD_BYTES);
     slow_stream_is_relayed_while_the_upload_stalls("/once/a", EVENTS, EarlyEnd::SlowShutDown, UPLOAD_BYTES);
 }
 
