review: case 12, a second copy of a report counts as the answer to an order

Cause: calls to agents and engines carry no id, and the next response on a kept connection is taken for the answer. Every 200 counts as an accepted order.

Change: a script with a group of two ranks as stand-ins.

--- a/review/stand-ins-3/engines.py
+++ b/review/stand-ins-3/engines.py
@@ -76,6 +76,9 @@
         self.prepared = self.armed = self.held = None
         self.highest = self.accepted = self.active = 0
         self.silent = lambda rank, order: None
+        # Decides after which time a second copy of a report follows, if any.
+        self.doubled = lambda rank: None
+        self.answers = 0
 
     def begin(self, step):
         if self.armed and self.armed[1] == step:
@@ -164,8 +167,13 @@
                 line, headers = head
                 body = await read_body(reader, headers)
                 target = line.split(" ")[1]
+                self.answers += 1
                 if target == "/fuchsiabay/report":
-                    writer.write(answer(200, json.dumps(self.state_body()).encode()))
+                    report = answer(200, json.dumps(self.state_body()).encode())
+                    writer.write(report)
+                    after_s = self.doubled(self)
+                    if after_s is not None:
+                        asyncio.create_task(self.send_again(writer, report, after_s))
                 elif target.startswith("/fuchsiabay/picked"):
                     writer.write(answer(200, json.dumps(self.picked("lists" in target)).encode()))
                 elif target == "/fuchsiabay/order":
@@ -183,6 +191,11 @@
             self.writers.discard(writer)
             writer.close()
 
+    async def send_again(self, writer, report, after_s):
+        await asyncio.sleep(after_s)
+        self.record(f"rank {self.number}: a second copy of a report is sent, {after_s * 1000:.0f} ms after the first one")
+        writer.write(report)
+
     def state_body(self):
         return {
             "stage": "both", "models": [{"name": "m", "version": 1, "adapters": []}], "busy": False, "seq": self.accepted,
--- a/review/stand-ins-3/standins.py
+++ b/review/stand-ins-3/standins.py
@@ -412,6 +412,8 @@
 def run(main, here):
     """Runs a case and exits with its result: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
     record = Record(os.path.join(here, "record.txt"))
+    # All processes are ended also if the case itself is told to stop.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
     try:
         with folder() as place:
             result = asyncio.run(asyncio.wait_for(main(record, place), 110))
