--- a/review/stand-ins-3/engines.py
+++ b/review/stand-ins-3/engines.py
@@ -76,8 +76,8 @@
         self.prepared = self.armed = self.held = None
         self.highest = self.accepted = self.active = 0
         self.silent = lambda rank, order: None
-        # Decides after which time a second copy of a report follows, if any.
-        self.doubled = lambda rank: None
+        # Decides for an answer to a target after which time a second copy follows, if any.
+        self.doubled = lambda rank, target: None
         self.answers = 0
 
     def begin(self, step):
@@ -168,20 +168,22 @@
                 body = await read_body(reader, headers)
                 target = line.split(" ")[1]
                 self.answers += 1
+                out = None
                 if target == "/fuchsiabay/report":
-                    report = answer(200, json.dumps(self.state_body()).encode())
-                    writer.write(report)
-                    after_s = self.doubled(self)
-                    if after_s is not None:
-                        asyncio.create_task(self.send_again(writer, report, after_s))
+                    out = answer(200, json.dumps(self.state_body()).encode())
                 elif target.startswith("/fuchsiabay/picked"):
-                    writer.write(answer(200, json.dumps(self.picked("lists" in target)).encode()))
+                    out = answer(200, json.dumps(self.picked("lists" in target)).encode())
                 elif target == "/fuchsiabay/order":
                     status = await self.handle_order(body)
                     if status is None:
                         await reader.read()
                         return
-                    writer.write(answer(status))
+                    out = answer(status)
+                if out is not None:
+                    writer.write(out)
+                    after_s = self.doubled(self, target)
+                    if after_s is not None:
+                        asyncio.create_task(self.send_again(writer, target, out, after_s))
                 else:
                     await self.stream(headers, writer)
                 await writer.drain()
@@ -191,10 +193,11 @@
             self.writers.discard(writer)
             writer.close()
 
-    async def send_again(self, writer, report, after_s):
+    async def send_again(self, writer, target, out, after_s):
         await asyncio.sleep(after_s)
-        self.record(f"rank {self.number}: a second copy of a report is sent, {after_s * 1000:.0f} ms after the first one")
-        writer.write(report)
+        self.record(f"rank {self.number}: a second copy of an answer to {target} is sent, {after_s * 1000:.0f} ms after the first one")
+        if not writer.is_closing():
+            writer.write(out)
 
     def state_body(self):
         return {
