--- a/review/11/case.py
+++ b/review/11/case.py
@@ -115,7 +115,7 @@
         busy.clear()
         stop.set()
         print(f"MAP: {len(group.violations)} passes began with different maps")
-        return 1 if group.violations else 0
+        return BROKEN if group.violations else 0
     finally:
         for task in tasks:
             task.cancel()
--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/bin/sh
-# Prepares the stand-ins of the cases 11 to 15: they are programs of Python's standard library, so they are only compiled.
+# Prepares the stand-ins of the cases 11 and 12: they are programs of Python's standard library, so they are only compiled.
 set -e
 cd "$(dirname "$0")"
 command -v python3 > /dev/null
--- a/review/stand-ins-3/standins.py
+++ b/review/stand-ins-3/standins.py
@@ -17,8 +17,8 @@
 PROJECT = os.path.abspath(os.path.join(os.path.dirname(__file__), "..", ".."))
 BINARY = os.path.join(PROJECT, "target", "release", "fuchsiabay-gateway")
 HEARTBEAT_S = 1.2
-# `drain_ms` and `config_ms` of the settings on a small site.
-DRAIN_MS = 2000
+# The exit code for a broken rule. `run.sh` turns it into 1.
+BROKEN = 10
 
 
 def free_port(ip):
@@ -178,49 +178,6 @@
         return answer(200, json.dumps({"generation": self.generation, "parts": mine}).encode())
 
 
-class Link:
-    """The path of one machine to the store. While it is cut, bytes of either direction get lost without a sign."""
-
-    def __init__(self, target):
-        self.host, port = target.split(":")
-        self.port = int(port)
-        self.is_cut = False
-
-    async def start(self, ip):
-        self.server = await asyncio.start_server(self.serve, ip, 0)
-        self.addr = "%s:%d" % self.server.sockets[0].getsockname()[:2]
-
-    async def serve(self, reader, writer):
-        if self.is_cut:
-            # A connection that is opened during the cut gets no answer, also afterwards.
-            await self.swallow(reader, writer)
-            return
-        there, back = await asyncio.open_connection(self.host, self.port)
-        await asyncio.gather(self.copy(reader, back), self.copy(there, writer))
-
-    async def swallow(self, reader, writer):
-        try:
-            while await reader.read(65536):
-                pass
-        except (ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
-
-    async def copy(self, reader, writer):
-        is_lost = False
-        try:
-            while data := await reader.read(65536):
-                is_lost |= self.is_cut
-                if not is_lost:
-                    writer.write(data)
-                    await writer.drain()
-        except (ConnectionError, asyncio.CancelledError):
-            pass
-        finally:
-            writer.close()
-
-
 class Worker:
     """A worker of a plain service. It registers in the store, runs requests, and answers 421 to those for another id."""
 
@@ -410,7 +367,7 @@
 
 
 def run(main, here):
-    """Runs a case and exits with its result: 1 if the rule was broken, 0 if it held, 2 if the case could not run."""
+    """Runs a case and exits with its result: `BROKEN` if the rule was broken, 0 if it held, 2 if the case could not run."""
     record = Record(os.path.join(here, "record.txt"))
     # All processes are ended also if the case itself is told to stop.
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(2))
