Move the pool of clients and the bypass of agents out of the platform adapter

The adapter decided how long an unresponsive agent is bypassed, and kept the idle clients of all engines. Both do not depend on the platform, so they are now `AgentBypasses` and `ClientPool` of the gateway. No change of behaviour.

--- a/crates/fuchsiabay-gateway/src/agent.rs
+++ b/crates/fuchsiabay-gateway/src/agent.rs
@@ -23,8 +23,9 @@
 use smol::net::{TcpListener, TcpStream};
 
 use crate::{
-    CallBudget, CallResponse, HttpClient, StartError,
+    CallResponse, HttpClient, StartError,
     body_budget::{BodyBudget, ORDER_LIMITS},
+    client::CallBudget,
     compression::{ORDER_ENCODING, decompress},
     http::{BodyReader, BufferedSocket, RequestHead},
     signals::{SignalAction, SignalListener},
--- a/crates/fuchsiabay-gateway/src/client.rs
+++ b/crates/fuchsiabay-gateway/src/client.rs
@@ -73,7 +73,7 @@
 
 /// The memory that the responses to the calls of several clients may use together.
 #[derive(Clone, Debug)]
-pub struct CallBudget(BodyBudget);
+pub(crate) struct CallBudget(BodyBudget);
 
 impl Default for CallBudget {
     fn default() -> Self {
@@ -90,7 +90,7 @@
     }
 
     /// Creates a client whose responses share `budget` with those of other clients.
-    pub fn with_budget(addr: SocketAddr, budget: &CallBudget) -> Self {
+    pub(crate) fn with_budget(addr: SocketAddr, budget: &CallBudget) -> Self {
         Self { addr, socket: None, budget: budget.0.clone() }
     }
 
--- a/crates/fuchsiabay-gateway/src/groups/mod.rs
+++ b/crates/fuchsiabay-gateway/src/groups/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! Only the instance that holds the coordinator lease changes layouts; every instance checks the groups.
 
+mod agent_bypasses;
 mod coordinator;
 mod discovery;
 mod engine_control;
@@ -11,6 +12,7 @@
 mod orders;
 mod recovery;
 
+pub use agent_bypasses::AgentBypasses;
 pub use engine_control::{EngineControl, EngineError, RankExperts};
 pub use engine_report::EngineReport;
 
