Give each process its own term of the coordinator lease

Cause: a coordinator that was killed and was back before its lease expired continued its membership, and so held the lease in the term of its predecessor. Versions are told apart by the term and by the memory of the process, which was gone. It chose a version again for another layout, while a prepare order of the predecessor was executed late; a rank that reports the version as prepared counts as prepared.

Change: before its first renewal, a process waits until the membership of a previous process that was the coordinator has expired. Expiry and joining begin new terms. It does not leave in the name of its predecessor, because a call without a reply may be executed seconds later and would end the new membership.

Tests: the simulated coordinators may restart now, and choose versions from what they read when they found the group, as the real one does.

--- a/crates/fuchsiabay-gateway/src/coordinator_lease.rs
+++ b/crates/fuchsiabay-gateway/src/coordinator_lease.rs
@@ -51,7 +51,7 @@
         self.state.lock().takeover.is_some_and(|takeover| takeover.ready_at() <= boot_now())
     }
 
-    /// Returns the term in which the lease is held. Two instances never hold it in the same term.
+    /// Returns the term in which the lease is held. Two processes never hold it in the same term.
     pub(crate) fn term(&self) -> LeaseTerm {
         self.state.lock().term
     }
--- a/crates/fuchsiabay-gateway/src/membership.rs
+++ b/crates/fuchsiabay-gateway/src/membership.rs
@@ -26,6 +26,10 @@
 
 /// Renews the membership until the gateway drains.
 pub(crate) async fn run<M: MembershipSource>(gateway: Arc<Gateway>, mut source: M) {
+    wait_for_predecessor(&gateway, &mut source).await;
+    if gateway.is_draining() {
+        return;
+    }
     let mut history = MembershipHistory::default();
     let mut term = LeaseTerm::default();
     loop {
@@ -70,3 +74,20 @@
         Timer::after(delay).await;
     }
 }
+
+/// Waits until the lease of a previous process of this instance has expired if that process was the coordinator.
+///
+/// Otherwise, this process would hold the lease in the same term without knowing the versions that its predecessor chose and the
+/// steps that it held. Orders of the predecessor may still be executed seconds later.
+async fn wait_for_predecessor<M: MembershipSource>(gateway: &Gateway, source: &mut M) {
+    while !gateway.is_draining() {
+        match source.is_predecessor_coordinator().await {
+            Ok(false) => return,
+            Ok(true) => {
+                log::info!("membership: waiting for the coordinator lease of the previous process to expire")
+            }
+            Err(error) => log::debug!("membership: failed to read the coordinator: {error}"),
+        }
+        Timer::after(RETRY_DELAY).await;
+    }
+}
--- a/crates/fuchsiabay-gateway/src/source.rs
+++ b/crates/fuchsiabay-gateway/src/source.rs
@@ -74,12 +74,16 @@
     pub members: Vec<SocketAddr>,
     /// Whether this instance is the coordinator.
     pub is_coordinator: bool,
-    /// The term, which changes with the membership. No two instances are the coordinator in the same term.
+    /// The term, which changes with the membership. No two processes are the coordinator in the same term.
     pub term: LeaseTerm,
 }
 
 /// Maintains the membership of this instance among the entry instances.
 pub trait MembershipSource: Send + 'static {
+    /// Returns whether the store still lists a previous process of this instance as the coordinator. Called before the first
+    /// renewal, which would continue the membership of that process.
+    fn is_predecessor_coordinator(&mut self) -> impl Future<Output = Result<bool, SourceError>> + Send;
+
     /// Extends the membership by [`MEMBERSHIP_LEASE_MS`](crate::MEMBERSHIP_LEASE_MS).
     fn renew(&mut self) -> impl Future<Output = Result<MembershipView, SourceError>> + Send;
 
--- a/crates/fuchsiabay-gateway/tests/groups.rs
+++ b/crates/fuchsiabay-gateway/tests/groups.rs
@@ -21,6 +21,23 @@
     });
 }
 
+/// Guards against a restarted coordinator that continues the term of its previous process, and so gives out a version again for
+/// another layout.
+#[test]
+fn term_of_a_previous_process_is_not_continued() {
+    smol::block_on(async {
+        let platform = FakePlatform { is_coordinator: true, ..FakePlatform::default() };
+        platform.has_predecessor.store(true, Ordering::Relaxed);
+        let harness = Harness::start_on(platform, engine_config(1, 1), 1, &[Behaviour::Respond("")]).await;
+        Timer::after(Duration::from_millis(1_500)).await;
+        let reads = || harness.platform.expert_reads.load(Ordering::Relaxed);
+        assert_eq!(reads(), 0);
+        harness.platform.has_predecessor.store(false, Ordering::Relaxed);
+        Timer::after(Duration::from_millis(1_500)).await;
+        assert_eq!(reads(), 1);
+    });
+}
+
 /// A group of one engine whose coordinator is this instance. The engine holds a step from the start, or only once its group is known.
 fn check_release(is_held_at_start: bool, orders: &[&str]) {
     smol::block_on(async {
--- a/crates/fuchsiabay-gateway/tests/support/platform.rs
+++ b/crates/fuchsiabay-gateway/tests/support/platform.rs
@@ -4,7 +4,7 @@
     net::SocketAddr,
     sync::{
         Arc, Mutex,
-        atomic::{AtomicU64, AtomicUsize, Ordering},
+        atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering},
     },
     time::Duration,
 };
@@ -39,6 +39,8 @@
     pub epoch: Arc<AtomicU64>,
     /// Whether the instances hold the coordinator lease.
     pub is_coordinator: bool,
+    /// Whether the store lists a previous process as the coordinator.
+    pub has_predecessor: Arc<AtomicBool>,
     /// The servers whose engines report that they are leaving.
     pub leaving_engines: Arc<Mutex<Vec<InstanceId>>>,
     /// The servers whose engines are in no group.
@@ -92,6 +94,11 @@
 }
 
 impl MembershipSource for Source {
+    async fn is_predecessor_coordinator(&mut self) -> Result<bool, SourceError> {
+        self.check()?;
+        Ok(self.platform.has_predecessor.load(Ordering::Relaxed))
+    }
+
     async fn renew(&mut self) -> Result<MembershipView, SourceError> {
         self.check()?;
         let members = self.platform.members.lock().unwrap().clone();
--- a/crates/fuchsiabay-lockstep/src/lease_term.rs
+++ b/crates/fuchsiabay-lockstep/src/lease_term.rs
@@ -4,7 +4,7 @@
 /// before and after a restore of the store differ by far less.
 const EPOCH_STRIDE: u64 = 512;
 
-/// The term of a coordinator lease. No two instances hold the lease in the same term.
+/// The term of a coordinator lease. No two processes hold the lease in the same term.
 ///
 /// After the store has returned from a copy, it gives out generations again. The epoch tells them apart.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Hash)]
--- a/crates/fuchsiabay-prove/src/lockstep_script.rs
+++ b/crates/fuchsiabay-prove/src/lockstep_script.rs
@@ -50,6 +50,11 @@
 pub enum LockstepAction {
     /// The coordinator is killed, and another one takes over.
     Kill,
+    /// The coordinator is killed and starts again, possibly before its lease has expired. It holds the lease again afterwards.
+    Restart {
+        /// The time from the kill to the start, in milliseconds.
+        ms: u64,
+    },
     /// The coordinator is frozen, and then resumes with its old state. Another one may have taken over meanwhile.
     Freeze {
         /// How long it lasts, in milliseconds.
@@ -120,8 +125,9 @@
             return [Step { at_ms, action: freeze }, Step { at_ms: at_ms + 1_300, action: reply_loss }];
         }
         let reply_loss = Self::LoseReplies { ms: rng.u64(1_000..6_000), percent: rng.u32(30..95) };
-        let change = match rng.u8(0..3) {
+        let change = match rng.u8(0..4) {
             0 => Self::Kill,
+            3 => Self::Restart { ms: rng.u64(300..2_000) },
             1 => Self::Freeze { ms: rng.u64(1_200..4_000) },
             _ => Self::Reassign,
         };
--- a/crates/fuchsiabay-prove/src/lockstep_world.rs
+++ b/crates/fuchsiabay-prove/src/lockstep_world.rs
@@ -32,6 +32,8 @@
 const REDISCOVERY_PERCENT: u32 = 12;
 /// The delay after which an order without a reply may be executed, in milliseconds.
 const EXECUTION_DELAY_MS: std::ops::Range<u64> = 2_000..12_000;
+/// The longest time for which a restarted coordinator measures the demand before its first switch, in milliseconds.
+const MAX_MEASURING_MS: u64 = 3_000;
 /// The minimum number of completed switches in the fault-free period. Fewer mean that the group can no longer switch
 /// maps.
 const MIN_SWITCHES: u32 = 3;
@@ -49,9 +51,21 @@
     switch: Option<(u64, Box<MapSwitch>)>,
     /// The last completed switch.
     decided: Option<DecidedSwitch>,
+    found: Option<FoundGroup>,
+    /// Until when the coordinator measures the demand, so that it begins no switch.
+    measures_until_ms: u64,
     history: OrderHistory,
 }
 
+/// What a coordinator has read of the group when it found it. It reads the group anew only after a switch that was not completed,
+/// or after a recovery.
+#[derive(Clone, Copy, Debug)]
+struct FoundGroup {
+    epoch: u64,
+    /// The highest version that a rank reported.
+    map_version: u64,
+}
+
 /// A switch that the coordinator has completed.
 #[derive(Clone, Copy, Debug)]
 struct DecidedSwitch {
@@ -68,6 +82,8 @@
             stop_at_ms: None,
             switch: None,
             decided: None,
+            found: None,
+            measures_until_ms: 0,
             history: OrderHistory::default(),
         }
     }
@@ -78,7 +94,7 @@
     rng: fastrand::Rng,
     /// The coordinators, of which the last one holds the lease. The others may not know yet that they have lost it.
     coordinators: Vec<Coordinator>,
-    /// The last term of the lease. No two coordinators hold the lease in the same term.
+    /// The last term of the lease. No two processes hold the lease in the same term.
     last_term: u64,
     /// When the lease of a frozen holder expires, so that another coordinator takes over.
     lease_expires_at_ms: Option<u64>,
@@ -126,6 +142,10 @@
                 self.coordinators.pop();
                 self.replace_holder(now_ms + LEASE_MS, true);
             }
+            LockstepAction::Restart { ms } => {
+                self.coordinators.pop();
+                self.restart_holder(now_ms, now_ms + ms);
+            }
             LockstepAction::Freeze { ms } => self.freeze(ms, now_ms),
             LockstepAction::Reassign => {
                 if let Some(holder) = self.coordinators.last_mut() {
@@ -156,9 +176,29 @@
         }
     }
 
-    /// Adds the next lease holder, which takes over at `at_ms`.
+    /// Adds the next process of the lease holder that was killed at `killed_at_ms`. It starts at `at_ms`.
+    fn restart_holder(&mut self, killed_at_ms: u64, at_ms: u64) {
+        if is_mechanism_enabled("term-per-process") {
+            // The lease expires, and the process joins again: each of them begins a term.
+            self.last_term += 1;
+            self.replace_holder(at_ms.max(killed_at_ms + LEASE_MS), true);
+        } else {
+            self.add_holder(at_ms, true);
+        }
+        let measuring_ms = self.rng.u64(..MAX_MEASURING_MS);
+        if let Some(holder) = self.coordinators.last_mut() {
+            holder.measures_until_ms = holder.idle_until_ms + measuring_ms;
+        }
+    }
+
+    /// Adds the next lease holder, which takes over at `at_ms` in a new term.
     fn replace_holder(&mut self, at_ms: u64, predecessor_stopped: bool) {
         self.last_term += 1;
+        self.add_holder(at_ms, predecessor_stopped);
+    }
+
+    /// Adds a lease holder, which takes over at `at_ms` in the last term.
+    fn add_holder(&mut self, at_ms: u64, predecessor_stopped: bool) {
         let takeover =
             Takeover { acquired_at: Timestamp::from_millis(at_ms), predecessor_stopped, lease_ms: LEASE_MS };
         let idle_until_ms = takeover.ready_at().as_millis();
@@ -287,14 +327,22 @@
         let decided_step = coordinator.decided.as_ref().map(|decided| decided.step);
         if let Some(recovery) = Recovery::from_states(&states, decided_step) {
             self.recover(&recovery, coordinator, epoch, now_ms);
+            coordinator.found = None;
             return None;
         }
         if states.iter().any(|state| state.armed.is_some()) {
             return None;
         }
-        let highest = states.iter().map(RankState::highest_version).max().unwrap_or(0);
+        let found = coordinator.found.filter(|found| found.epoch == epoch);
+        let found = *coordinator.found.insert(found.unwrap_or_else(|| FoundGroup {
+            epoch,
+            map_version: states.iter().map(RankState::highest_version).max().unwrap_or(0),
+        }));
+        if now_ms < coordinator.measures_until_ms {
+            return None;
+        }
         let term = LeaseTerm { store_epoch: 0, generation: coordinator.term };
-        let version = coordinator.history.choose_version(GROUP, highest, term);
+        let version = coordinator.history.choose_version(GROUP, found.map_version, term);
         let content = vec![self.rng.u16(..)];
         let layout = Arc::new(ExpertLayout { sets: vec![vec![content; RANKS]] });
         let timing = SwitchTiming {
@@ -341,8 +389,10 @@
                 let watch = StallWatch::new(self.group.step, now);
                 let is_kept = self.rng.u32(..100) >= REDISCOVERY_PERCENT;
                 coordinator.decided = is_kept.then_some(DecidedSwitch { epoch, step, watch });
+                coordinator.found = coordinator.found.filter(|_| is_kept);
             }
             Some(SwitchOutcome::Aborted(_)) => {
+                coordinator.found = None;
                 if let Some(recovery) = switch.recovery() {
                     self.recover(&recovery, coordinator, epoch, now_ms);
                 }
--- a/crates/fuchsiabay-prove/src/mechanism.rs
+++ b/crates/fuchsiabay-prove/src/mechanism.rs
@@ -94,6 +94,11 @@
         "off: a hold is released although a rank could still be armed by an order that is executed late",
         Promise::LockstepMap,
     ),
+    mechanism(
+        "term-per-process",
+        "off: a restarted coordinator continues the term of its previous process",
+        Promise::LockstepMap,
+    ),
     mechanism(
         "watch-stalls",
         "off: a coordinator does not look for held steps after its switches",
--- a/crates/fuchsiabay-prove/tests/late_orders.rs
+++ b/crates/fuchsiabay-prove/tests/late_orders.rs
@@ -56,6 +56,8 @@
     sender_lives: None;
     /// Guards against ranks that are armed by orders of a killed coordinator, after its successor released the step.
     sender_is_killed: Some(LockstepAction::Kill);
+    /// Guards against a restarted coordinator that chooses the versions and the steps of its previous process again.
+    sender_is_restarted: Some(LockstepAction::Restart { ms: 500 });
     sender_is_frozen_for_a_moment: Some(LockstepAction::Freeze { ms: 700 });
     sender_is_frozen_until_it_has_lost_the_lease: Some(LockstepAction::Freeze { ms: 2_500 });
     sender_loses_the_lease: Some(LockstepAction::Reassign);
