Move the command line and the encoding cache of orders out of the platform adapter

The adapter may only translate. The command line does not depend on the platform (`Command`), nor does the decision to encode a prepare order once for all ranks and to compress it (`EncodedOrders`). `DependencyStatus` gets a file of its own, as other followers of the store need it, too. No change of behaviour.

--- a/crates/fuchsiabay-gateway/src/follow.rs
+++ b/crates/fuchsiabay-gateway/src/follow.rs
@@ -8,8 +8,8 @@
 use smol::Timer;
 
 use crate::{
-    ConfigSource, ConfigUpdate, ServerSource, ServerUpdate, SourceError, coordinator_lease::boot_now,
-    gateway::Gateway, zone_drains,
+    ConfigSource, ConfigUpdate, ServerSource, ServerUpdate, coordinator_lease::boot_now,
+    dependency_status::DependencyStatus, gateway::Gateway, zone_drains,
 };
 
 /// Interval at which the directory is read. A server that leaves must stop receiving new work within 2 s.
@@ -77,7 +77,7 @@
         match source.poll().await {
             Ok(update) => {
                 // If neighbours could read the directory meanwhile, the store had no outage during which entries could expire.
-                let had_outage = dependency.is_unavailable && !gateway.is_fresh(SharedState::Directory);
+                let had_outage = dependency.is_unavailable() && !gateway.is_fresh(SharedState::Directory);
                 dependency.record_ok();
                 gateway.change_directory(|directory, now| {
                     if had_outage {
@@ -145,45 +145,3 @@
         }
     }
 }
-
-/// Logs when a dependency becomes unavailable or available again, and when this instance starts or stops reading it for
-/// its neighbours.
-struct DependencyStatus {
-    name: &'static str,
-    is_unavailable: bool,
-    is_reader: bool,
-}
-
-impl DependencyStatus {
-    const fn new(name: &'static str) -> Self {
-        Self { name, is_unavailable: false, is_reader: false }
-    }
-
-    fn record_reader(&mut self, is_reader: bool) {
-        if std::mem::replace(&mut self.is_reader, is_reader) != is_reader {
-            log::info!(dependency = self.name, is_reader; "follow: store reader role changed");
-        } else if !is_reader {
-            log::info!(dependency = self.name; "follow: no recent update from neighbours, reading the store");
-        }
-    }
-
-    /// Records that neighbours provide the data, so that an earlier failure of the store no longer matters.
-    fn record_read_deferred(&mut self) {
-        if std::mem::replace(&mut self.is_unavailable, false) {
-            log::info!(dependency = self.name; "follow: neighbours provide updates");
-        }
-    }
-
-    fn record_ok(&mut self) {
-        if std::mem::replace(&mut self.is_unavailable, false) {
-            log::info!(dependency = self.name; "follow: dependency available again");
-        }
-    }
-
-    fn record_error(&mut self, error: &SourceError) {
-        metrics::counter!("fuchsiabay_store_errors_total", "dependency" => self.name).increment(1);
-        if !std::mem::replace(&mut self.is_unavailable, true) {
-            log::warn!(dependency = self.name, error:% = error; "follow: dependency unavailable");
-        }
-    }
-}
--- a/crates/fuchsiabay-gateway/src/groups/mod.rs
+++ b/crates/fuchsiabay-gateway/src/groups/mod.rs
@@ -5,6 +5,7 @@
 mod agent_bypasses;
 mod coordinator;
 mod discovery;
+mod encoded_orders;
 mod engine_control;
 mod engine_report;
 mod group;
@@ -13,6 +14,7 @@
 mod recovery;
 
 pub use agent_bypasses::AgentBypasses;
+pub use encoded_orders::{EncodedOrder, EncodedOrders};
 pub use engine_control::{EngineControl, EngineError, RankExperts};
 pub use engine_report::EngineReport;
 
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -17,11 +17,13 @@
 mod client;
 mod client_pool;
 mod cold_events;
+mod command;
 mod compression;
 mod config_report;
 mod coordinator_lease;
 mod crash_events;
 mod daemon;
+mod dependency_status;
 mod drain;
 mod fair_share_events;
 mod follow;
@@ -46,10 +48,13 @@
 pub use agent::{AgentSettings, DEMAND_PATH, RunningAgent, TARGET_ENGINE_HEADER, run_agent};
 pub use client::{CallError, CallResponse, HttpClient};
 pub use client_pool::ClientPool;
+pub use command::{Command, Role, RunOptions};
 pub use compression::{ORDER_ENCODING, compress};
 pub use config_report::{ConfigFileError, ConfigReport, print_config_report};
 pub use daemon::{RunningGateway, StartError, run};
-pub use groups::{AgentBypasses, EngineControl, EngineError, EngineReport, RankExperts};
+pub use groups::{
+    AgentBypasses, EncodedOrder, EncodedOrders, EngineControl, EngineError, EngineReport, RankExperts,
+};
 pub use header_names::HeaderNames;
 pub use membership::MEMBERSHIP_LEASE_MS;
 pub use settings::{GatewaySettings, LiveSettings};
