Keep the crashes that have a suspect in common in the store

Cause: crashes were in the memory of the instances only, which tell each other of them. Nobody was left who knew them.

Ruled out: neighbours that do not tell (both instances are killed at the same moment); crashes that are refuted by the servers that are back (they have new ids, and the request is refused before the kill).

Change: two of the instances that read the store save a record of the crashes that count and have a suspect in common, with these suspects and the occupancy of the requests among them. A process that starts loads it as it is told of crashes by a neighbour. It is appended on condition that nothing was appended since it was read. Nothing waits for the store, and a record of an earlier epoch of the store is ignored.

--- a/crates/fuchsiabay-balancer/src/crashes/commands.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/commands.rs
@@ -9,7 +9,7 @@
     Suspect,
     crash::{Crash, MAX_MESSAGE_MS},
     given_up::GivenUpAttempt,
-    occupancies::MAX_TOLD,
+    occupancies::{MAX_TOLD, Source},
     verdicts::{Verdicts, contested_requests},
 };
 
@@ -176,7 +176,7 @@
         }
         self.contested = contested_requests(self.crashes.values(), MAX_TOLD);
         for own in self.own_occupancies(now) {
-            self.occupancies.record(None, own, now);
+            self.occupancies.record(Source::Own, own, now);
         }
         let occupancy = |fingerprint: &Fingerprint| self.occupancies.total(fingerprint);
         let verdicts = Verdicts::of(self.crashes.values(), occupancy, &self.verdicts, now);
@@ -187,7 +187,7 @@
     /// Records which part of the servers runs requests for the instance at `from`.
     pub fn merge_occupancies(&mut self, from: SocketAddr, told: &[RequestOccupancy], now: Timestamp) {
         for one in told.iter().take(MAX_TOLD) {
-            if self.occupancies.record(Some(from), *one, now) {
+            if self.occupancies.record(Source::Instance(from), *one, now) {
                 self.verdicts.request_evaluation(now);
             }
         }
--- a/crates/fuchsiabay-balancer/src/crashes/mod.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/mod.rs
@@ -6,7 +6,8 @@
 //! survived several times is not suspect. The fewest suspects that explain the crashes are quarantined, and every whole request
 //! under which more servers crashed than chance explains: servers may survive other requests that look the same.
 //!
-//! The instances tell each other of crashes, so that each of them judges by the crashes that all have seen.
+//! The instances tell each other of crashes, so that each of them judges by the crashes that all have seen. A record of the crashes
+//! that have suspects in common outlives all of them.
 
 mod commands;
 mod crash;
@@ -16,6 +17,7 @@
 mod occupancies;
 mod occupancy;
 mod queries;
+mod record;
 mod report;
 mod survivals;
 mod suspect;
@@ -37,6 +39,7 @@
 pub use occupancies::RequestOccupancy;
 pub use occupancy::Occupancy;
 pub use queries::Quarantine;
+pub use record::CrashRecord;
 pub use report::{CrashReport, ReportedSuspect};
 pub use survivals::SurvivedRun;
 pub use suspect::Suspect;
--- a/crates/fuchsiabay-balancer/src/crashes/occupancies.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/occupancies.rs
@@ -20,8 +20,16 @@
     pub occupancy: Occupancy,
 }
 
-/// The instance that told an occupancy. None for this instance.
-type Source = Option<SocketAddr>;
+/// Where an occupancy comes from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub(super) enum Source {
+    /// This instance.
+    Own,
+    /// Another instance.
+    Instance(SocketAddr),
+    /// A record, which states the occupancy over all instances of the time at which it was written.
+    Record,
+}
 
 #[derive(Clone, Copy, Debug)]
 struct Told {
@@ -50,8 +58,12 @@
 
     /// Returns the occupancy of a request over all instances.
     pub(super) fn total(&self, fingerprint: &Fingerprint) -> Occupancy {
-        let by_source = self.0.get(fingerprint).into_iter().flat_map(BTreeMap::values);
-        Occupancy::sum(by_source.map(|told| told.occupancy))
+        let Some(by_source) = self.0.get(fingerprint) else {
+            return Occupancy::default();
+        };
+        let told = by_source.iter().filter(|(source, _)| **source != Source::Record);
+        let recorded = by_source.get(&Source::Record).map_or(Occupancy::default(), |told| told.occupancy);
+        Occupancy::sum(told.map(|(_, told)| told.occupancy)).max(recorded)
     }
 
     pub(super) fn remove_expired(&mut self, now: Timestamp) {
--- a/crates/fuchsiabay-balancer/src/lib.rs
+++ b/crates/fuchsiabay-balancer/src/lib.rs
@@ -37,7 +37,7 @@
 pub use config::ServingConfig;
 pub use config_check::{ConfigChange, Finding, Severity};
 pub use crashes::{
-    CrashEvent, CrashLedger, CrashReport, Incarnation, Occupancy, Quarantine, ReportedSuspect,
+    CrashEvent, CrashLedger, CrashRecord, CrashReport, Incarnation, Occupancy, Quarantine, ReportedSuspect,
     RequestOccupancy, SurvivedRun, Suspect,
 };
 pub use demand::{DemandReport, ReportedDemand};
--- a/crates/fuchsiabay-balancer/src/neighbours/readers.rs
+++ b/crates/fuchsiabay-balancer/src/neighbours/readers.rs
@@ -10,6 +10,9 @@
 /// The number of instances for each reader.
 const INSTANCES_PER_READER: usize = 16;
 
+/// The number of readers that also write to the store. With more, most writes would be refused, because another one came first.
+const WRITERS: usize = 2;
+
 /// The number of readers that an instance calls.
 const CALLED_READERS: usize = 2;
 
@@ -35,6 +38,11 @@
         self.0.contains(&addr)
     }
 
+    /// Returns whether the instance at `addr` writes what all instances know to the store.
+    pub fn is_writer(&self, addr: SocketAddr) -> bool {
+        self.0.iter().take(WRITERS).any(|writer| *writer == addr)
+    }
+
     /// Returns the readers that the instance at `caller` calls. Empty if it is a reader itself.
     pub fn called_by(&self, caller: SocketAddr) -> Vec<SocketAddr> {
         if self.contains(caller) {
--- a/crates/fuchsiabay-balancer/src/neighbours/table.rs
+++ b/crates/fuchsiabay-balancer/src/neighbours/table.rs
@@ -223,6 +223,11 @@
         self.readers.contains(self.own_addr)
     }
 
+    /// Returns whether this instance writes what all instances know to the store.
+    pub fn is_writer(&self) -> bool {
+        self.readers.is_writer(self.own_addr)
+    }
+
     /// Returns the addresses of the other instances.
     pub fn addrs(&self) -> Vec<SocketAddr> {
         let mut addrs: Vec<SocketAddr> =
--- a/crates/fuchsiabay-balancer/tests/neighbours.rs
+++ b/crates/fuchsiabay-balancer/tests/neighbours.rs
@@ -50,6 +50,14 @@
         before == StoreReaders::choose(&members, members.len())
     }
 
+    /// Guards against what no instance writes to the store, and against so many writers that most of them are refused.
+    fn two_readers_write(n: u8) -> bool {
+        let members = addrs(n.into());
+        let readers = StoreReaders::choose(&members, members.len());
+        let writers: Vec<_> = members.iter().filter(|member| readers.is_writer(**member)).collect();
+        writers.len() == members.len().min(2) && writers.into_iter().all(|writer| readers.contains(*writer))
+    }
+
     /// Guards against an instance that calls itself or no reader.
     fn other_instances_call_two_readers(n: u8) -> bool {
         let members = addrs(u16::from(n) + 3);
--- a/crates/fuchsiabay-gateway/src/daemon.rs
+++ b/crates/fuchsiabay-gateway/src/daemon.rs
@@ -9,7 +9,7 @@
 use smol::{Timer, net::TcpListener};
 
 use crate::{
-    GatewaySettings, LiveSettings, Platform, caller, follow,
+    GatewaySettings, LiveSettings, Platform, caller, crash_persistence, follow,
     gateway::Gateway,
     groups, membership,
     neighbours::{self, NeighbourConnections, NeighbourService},
@@ -102,6 +102,7 @@
         spawn(follow::follow_config(gateway.clone(), platform.config())).detach();
         spawn(follow::follow_servers(gateway.clone(), platform.servers())).detach();
         spawn(membership::run(gateway.clone(), platform.membership())).detach();
+        spawn(crash_persistence::run(gateway.clone(), platform.crashes())).detach();
         let engines = Arc::new(platform.engines());
         spawn(groups::run_coordinator(gateway.clone(), engines.clone())).detach();
         spawn(groups::run_group_checks(gateway.clone(), engines)).detach();
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -219,6 +219,11 @@
         self.zone_drains.lock().to_reply(known)
     }
 
+    /// Returns the epoch of the store as of the last change of the directory.
+    pub(crate) fn store_epoch(&self) -> u64 {
+        self.directory.lock().epoch().unwrap_or_default()
+    }
+
     /// Records that the directory has been read completely at least once.
     pub(crate) fn set_directory_known(&self) {
         self.directory_is_known.store(true, Ordering::Relaxed);
--- a/crates/fuchsiabay-gateway/src/lib.rs
+++ b/crates/fuchsiabay-gateway/src/lib.rs
@@ -22,6 +22,7 @@
 mod config_report;
 mod coordinator_lease;
 mod crash_events;
+mod crash_persistence;
 mod daemon;
 mod dependency_status;
 mod drain;
@@ -59,6 +60,6 @@
 pub use membership::MEMBERSHIP_LEASE_MS;
 pub use settings::{GatewaySettings, LiveSettings};
 pub use source::{
-    ConfigSource, ConfigUpdate, DrainedZonesUpdate, MembershipSource, MembershipView, Platform, ServerSource,
-    ServerUpdate, SourceError,
+    ConfigSource, ConfigUpdate, CrashStore, DrainedZonesUpdate, MembershipSource, MembershipView, Platform,
+    ServerSource, ServerUpdate, SourceError,
 };
--- a/crates/fuchsiabay-gateway/src/source.rs
+++ b/crates/fuchsiabay-gateway/src/source.rs
@@ -2,7 +2,7 @@
 
 use std::{future::Future, net::SocketAddr};
 
-use fuchsiabay_balancer::{ServerChange, ServerRecord, ServingConfig, StorePosition};
+use fuchsiabay_balancer::{CrashRecord, ServerChange, ServerRecord, ServingConfig, StorePosition};
 use fuchsiabay_base::ZoneName;
 use fuchsiabay_lockstep::LeaseTerm;
 
@@ -91,6 +91,20 @@
     fn leave(&mut self) -> impl Future<Output = ()> + Send;
 }
 
+/// Keeps the record of crashes, which must outlive all instances.
+pub trait CrashStore: Send + 'static {
+    /// Returns the record, which is empty if there is none, and its position.
+    fn load(&mut self) -> impl Future<Output = Result<(CrashRecord, StorePosition), SourceError>> + Send;
+
+    /// Replaces the record at `position`. Returns the new position, or None if the record was not the last one any more. A call that
+    /// fails may be executed later, but only if the record is still the last one then.
+    fn save(
+        &mut self,
+        record: &CrashRecord,
+        position: StorePosition,
+    ) -> impl Future<Output = Result<Option<StorePosition>, SourceError>> + Send;
+}
+
 /// Access to everything in the deployment that a gateway depends on.
 pub trait Platform {
     /// Source of the configuration.
@@ -99,6 +113,8 @@
     type Servers: ServerSource;
     /// Membership of this instance.
     type Membership: MembershipSource;
+    /// Store of the record of crashes.
+    type Crashes: CrashStore;
     /// Client of the engines.
     type Engines: EngineControl;
 
@@ -111,6 +127,9 @@
     /// Creates the membership client.
     fn membership(&self) -> Self::Membership;
 
+    /// Creates the client of the record of crashes.
+    fn crashes(&self) -> Self::Crashes;
+
     /// Creates the client of the engines.
     fn engines(&self) -> Self::Engines;
 }
--- a/crates/fuchsiabay-gateway/tests/support/platform.rs
+++ b/crates/fuchsiabay-gateway/tests/support/platform.rs
@@ -9,10 +9,10 @@
     time::Duration,
 };
 
-use fuchsiabay_balancer::{ServerRecord, ServingConfig, StorePosition};
+use fuchsiabay_balancer::{CrashRecord, ServerRecord, ServingConfig, StorePosition};
 use fuchsiabay_base::InstanceId;
 use fuchsiabay_gateway::{
-    ConfigSource, ConfigUpdate, DrainedZonesUpdate, EngineControl, EngineError, EngineReport,
+    ConfigSource, ConfigUpdate, CrashStore, DrainedZonesUpdate, EngineControl, EngineError, EngineReport,
     MembershipSource, MembershipView, Platform, RankExperts, ServerSource, ServerUpdate, SourceError,
 };
 use fuchsiabay_lockstep::{
@@ -51,6 +51,10 @@
     pub orders: Arc<Mutex<Vec<&'static str>>>,
     /// The number of reads of the experts of an engine.
     pub expert_reads: Arc<AtomicUsize>,
+    /// The record of crashes, and how often it was written.
+    pub crashes: Arc<Mutex<(CrashRecord, u64)>>,
+    /// Whether calls for the record of crashes fail.
+    pub rejects_crashes: Arc<AtomicBool>,
     /// The number of reads of the configuration and the directory.
     pub reads: Arc<AtomicUsize>,
 }
@@ -112,6 +116,37 @@
     async fn leave(&mut self) {}
 }
 
+impl Source {
+    fn check_crashes(&self) -> Result<(), SourceError> {
+        match self.platform.rejects_crashes.load(Ordering::Relaxed) {
+            true => Err(SourceError::Unavailable("rejected".to_owned())),
+            false => self.check(),
+        }
+    }
+}
+
+impl CrashStore for Source {
+    async fn load(&mut self) -> Result<(CrashRecord, StorePosition), SourceError> {
+        self.check_crashes()?;
+        let (record, offset) = self.platform.crashes.lock().unwrap().clone();
+        Ok((record, StorePosition { epoch: self.platform.epoch.load(Ordering::Relaxed), offset }))
+    }
+
+    async fn save(
+        &mut self,
+        record: &CrashRecord,
+        position: StorePosition,
+    ) -> Result<Option<StorePosition>, SourceError> {
+        self.check_crashes()?;
+        let (stored, offset) = &mut *self.platform.crashes.lock().unwrap();
+        if *offset != position.offset {
+            return Ok(None);
+        }
+        (*stored, *offset) = (record.clone(), position.offset + 1);
+        Ok(Some(StorePosition { offset: *offset, ..position }))
+    }
+}
+
 /// Engines that are groups of one rank each, without any demand.
 pub struct FakeEngines {
     platform: FakePlatform,
@@ -166,6 +201,7 @@
     type Config = Source;
     type Servers = Source;
     type Membership = Source;
+    type Crashes = Source;
     type Engines = FakeEngines;
 
     fn config(&self) -> Source {
@@ -180,6 +216,10 @@
         Source { platform: self.clone(), seen: 0 }
     }
 
+    fn crashes(&self) -> Source {
+        Source { platform: self.clone(), seen: 0 }
+    }
+
     fn engines(&self) -> FakeEngines {
         FakeEngines { platform: self.clone() }
     }
