Share the slack of the retry budget with the previous process

Cause: an instance that starts does not know the retries that its previous process made in the same window, and took its whole share of the slack again. If all instances are killed and start again within a window, their retries exceed the budget of all (BUDGET).

Change: in its first window, an instance uses 15% of its share of the slack instead of 70%, so that two restarts within one window fit into the share. Retries that requests have earned are not concerned.

--- a/crates/fuchsiabay-balancer/src/retry_budget.rs
+++ b/crates/fuchsiabay-balancer/src/retry_budget.rs
@@ -11,6 +11,10 @@
 /// yet.
 const USED_SHARE_PERCENT: u64 = 70;
 
+/// The percentage of its share of the slack that an instance uses in its first window. Its previous process may have used
+/// [`USED_SHARE_PERCENT`] in the same window, so that two restarts within one window fit into the share.
+const STARTING_SHARE_PERCENT: u64 = 15;
+
 /// The limits that apply to all instances together.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct RetryLimits {
@@ -34,12 +38,13 @@
 pub struct RetryBudget {
     limits: RetryLimits,
     buckets: VecDeque<Bucket>,
+    started_at: Timestamp,
 }
 
 impl RetryBudget {
-    /// Creates a budget without any counted requests.
-    pub fn new(limits: RetryLimits) -> Self {
-        Self { limits, buckets: VecDeque::new() }
+    /// Creates a budget without any counted requests for an instance that started at `started_at`.
+    pub fn new(limits: RetryLimits, started_at: Timestamp) -> Self {
+        Self { limits, buckets: VecDeque::new(), started_at }
     }
 
     /// Sets the limits. Requests and retries counted before still count.
@@ -58,14 +63,20 @@
         let requests: u64 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u64 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let earned = (requests as f64 * self.limits.ratio) as u64;
-        let own_slack = self.limits.slack * USED_SHARE_PERCENT / 100 / instances.max(1) as u64;
-        if retries >= earned * USED_SHARE_PERCENT / 100 + own_slack {
+        if retries >= earned * USED_SHARE_PERCENT / 100 + self.own_slack(instances, now) {
             return false;
         }
         self.bucket(now).retries += 1;
         true
     }
 
+    /// Returns the retries that this instance may make in a window beyond those that requests have earned.
+    fn own_slack(&self, instances: usize, now: Timestamp) -> u64 {
+        let is_in_first_window = now < self.started_at.plus_millis(self.limits.window_ms + BUCKET_MS);
+        let percent = if is_in_first_window { STARTING_SHARE_PERCENT } else { USED_SHARE_PERCENT };
+        self.limits.slack * percent / 100 / instances.max(1) as u64
+    }
+
     fn bucket(&mut self, now: Timestamp) -> &mut Bucket {
         let needs_bucket = self.buckets.back().is_none_or(|bucket| bucket.ends_at <= now);
         if needs_bucket {
--- a/crates/fuchsiabay-gateway/src/gateway.rs
+++ b/crates/fuchsiabay-gateway/src/gateway.rs
@@ -12,8 +12,8 @@
 
 use fuchsiabay_balancer::{
     CallerLimits, ColdStartLimits, ConfigSlot, CrashLedger, CrashReport, DemandReport, Directory,
-    DrainedZones, Freshness, IndexedConfig, Neighbours, RequestOccupancy, ServerLists, SharedState,
-    StateMark,
+    DrainedZones, Freshness, IndexedConfig, Neighbours, RequestOccupancy, RetryBudget, ServerLists,
+    SharedState, StateMark,
 };
 use fuchsiabay_base::{InstanceId, ServiceName, Timestamp, ZoneName};
 use fuchsiabay_runtime::{OpsSource, monotonic_now};
@@ -62,6 +62,7 @@
     freshness: Mutex<Freshness>,
     /// Identifies this process's state to neighbours.
     state_source: u64,
+    started_at: Timestamp,
     open_connections: AtomicUsize,
     running_requests: AtomicUsize,
     instances: AtomicUsize,
@@ -94,6 +95,7 @@
             freshness: Mutex::default(),
             // It only has to differ from that of the previous process, and 32 bits keep the messages small.
             state_source: fastrand::u32(..).into(),
+            started_at: monotonic_now(),
             open_connections: AtomicUsize::new(0),
             running_requests: AtomicUsize::new(0),
             instances: AtomicUsize::new(1),
@@ -152,7 +154,8 @@
         let mut shards = self.shards.write();
         let create = || {
             let zone = self.settings.zone.clone();
-            let shard = ServiceShard::new(service.clone(), zone, self.live().retries);
+            let retries = RetryBudget::new(self.live().retries, self.started_at);
+            let shard = ServiceShard::new(service.clone(), zone, retries);
             shard.set_instance_count(self.instance_count());
             shard.set_drained_zones(&zones.drained());
             Arc::new(shard)
--- a/crates/fuchsiabay-gateway/src/shard.rs
+++ b/crates/fuchsiabay-gateway/src/shard.rs
@@ -65,9 +65,8 @@
 }
 
 impl ServiceShard {
-    pub(crate) fn new(name: ServiceName, zone: ZoneName, limits: RetryLimits) -> Self {
-        let state =
-            State { pool: Pool::new(zone), retries: RetryBudget::new(limits), waiters: HashMap::new() };
+    pub(crate) fn new(name: ServiceName, zone: ZoneName, retries: RetryBudget) -> Self {
+        let state = State { pool: Pool::new(zone), retries, waiters: HashMap::new() };
         Self { name, group_check_requested: AtomicBool::new(false), state: Mutex::new(state) }
     }
 
