Send orders to engines on connections of their own

Cause: responses of engines to reports and orders state no id, and both kinds of calls shared a connection. A second copy of a report, 10 ms after the first one, was taken for the reply to an arm order that got none. The step was released with one rank not armed.

Ruled out: a check of the connection before the order, which finds nothing, as the copy comes later.

Change: an order goes to the engine on a connection of its own, from the agent and from the coordinator if the agent does not respond.

--- a/crates/fuchsiabay-gateway/src/agent.rs
+++ b/crates/fuchsiabay-gateway/src/agent.rs
@@ -238,7 +238,10 @@
         Some(CallResponse::new(200, delta.encode()))
     }
 
-    /// Calls an engine. `post` holds the content type and the body of a POST request.
+    /// Calls an engine. `post` holds the content type and the body of a POST request, which is an order.
+    ///
+    /// An order is sent on a connection of its own: responses of engines state no id, so a late copy of an earlier one would be taken
+    /// for the reply to the order.
     async fn call(
         &self,
         engine: SocketAddr,
@@ -246,7 +249,8 @@
         target: &str,
         post: Option<(&str, &[u8])>,
     ) -> Option<CallResponse> {
-        let idle_client = if is_own_engine { self.idle_clients.lock().pop() } else { None };
+        let is_kept = is_own_engine && post.is_none();
+        let idle_client = if is_kept { self.idle_clients.lock().pop() } else { None };
         let mut client = idle_client.unwrap_or_else(|| HttpClient::with_budget(engine, &self.call_budget));
         let started_at = monotonic_now();
         let deadline = started_at.plus_millis(CALL_TIMEOUT_MS);
@@ -261,7 +265,7 @@
         match result {
             Ok(response) => {
                 let mut idle_clients = self.idle_clients.lock();
-                if is_own_engine && idle_clients.len() < MAX_IDLE_CLIENTS {
+                if is_kept && idle_clients.len() < MAX_IDLE_CLIENTS {
                     idle_clients.push(client);
                 }
                 Some(response)
--- a/crates/fuchsiabay-gateway/src/client_pool.rs
+++ b/crates/fuchsiabay-gateway/src/client_pool.rs
@@ -43,6 +43,19 @@
         result
     }
 
+    /// Sends a request as [`post_json`](Self::post_json) does, without additional header lines, on a connection of its own. No late
+    /// copy of an earlier response is taken for the response to it.
+    pub async fn post_json_once(
+        &self,
+        addr: SocketAddr,
+        target: &str,
+        body: &[u8],
+        deadline: Timestamp,
+    ) -> Result<CallResponse, CallError> {
+        let mut client = HttpClient::with_budget(addr, &self.budget);
+        client.post(target, "application/json", body, deadline).await
+    }
+
     fn take(&self, addr: SocketAddr) -> HttpClient {
         self.idle.lock().remove(&addr).unwrap_or_else(|| HttpClient::with_budget(addr, &self.budget))
     }
