--- a/crates/fuchsiabay-balancer/src/crashes/record.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/record.rs
@@ -48,6 +48,7 @@
         self.evidence() == other.evidence()
     }
 
+    /// Returns each crash with each of its suspects.
     fn evidence<'a>(&'a self) -> BTreeSet<(&'a Incarnation, Fingerprint)> {
         let pairs = |crash: &'a CrashReport| {
             crash.suspects.iter().map(|suspect| (&crash.incarnation, suspect.fingerprint))
@@ -64,16 +65,16 @@
         let crashes: Vec<&Crash> = counted.iter().map(|(_, crash)| *crash).collect();
         let repeated: HashMap<Fingerprint, Tally> =
             tallies(&crashes).filter(|(_, tally)| tally.crashes >= MIN_CRASHES).collect();
+        if repeated.is_empty() {
+            return CrashRecord { store_epoch, ..CrashRecord::default() };
+        }
         let reports = counted.into_iter().map(|(incarnation, crash)| {
             let mut report = CrashReport::new(incarnation, crash, None, now);
             keep_repeated(&mut report, &repeated);
             report
         });
-        CrashRecord {
-            store_epoch,
-            crashes: reports.filter(|report| !report.suspects.is_empty()).take(MAX_CRASHES).collect(),
-            occupancies: self.recorded_occupancies(),
-        }
+        let crashes = reports.filter(|report| !report.suspects.is_empty()).take(MAX_CRASHES).collect();
+        CrashRecord { store_epoch, crashes, occupancies: self.recorded_occupancies() }
     }
 
     /// Adds what a record holds. Crashes that are known are left as they are, because the record may be older.
--- a/crates/fuchsiabay-gateway/src/crash_persistence.rs
+++ b/crates/fuchsiabay-gateway/src/crash_persistence.rs
@@ -18,7 +18,7 @@
 const RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
 /// The time after which a record is written again, in milliseconds. It states ages, because the time of day may jump, so the crashes
-/// of a record that is read later look younger by up to this time and the time for which no instance ran.
+/// of a record that is read later look younger by up to this time and the time for which no instance ran or reached the store.
 const REFRESH_MS: u64 = 30_000;
 
 /// Loads the record and keeps it up to date. Never returns.
