Let recorded crashes age although all instances are killed soon

Cause: the record states ages and was written again after 30 s only. If all processes are killed again and again within that time, each life loaded the same ages, so a request that is refused would be refused for ever. Found in a review of the record; no caller was seen to suffer.

Change: the record is written every 5 s. A process that loads it takes the crashes for 5 s older, and saves that at once, so that each life in which it can be saved makes them older.

Test: `crashes_age_although_all_processes_are_killed_soon` fails before (848 ms and 848 ms after a life) and passes now.

--- a/crates/fuchsiabay-balancer/src/crashes/record.rs
+++ b/crates/fuchsiabay-balancer/src/crashes/record.rs
@@ -43,6 +43,11 @@
         self.crashes.is_empty()
     }
 
+    /// Makes the crashes `ms` milliseconds older.
+    pub fn add_age(&mut self, ms: u64) {
+        self.crashes.iter_mut().for_each(|crash| crash.age_ms = crash.age_ms.saturating_add(ms));
+    }
+
     /// Returns whether both records hold the same crashes with the same suspects, whatever their ages.
     pub fn has_same_evidence(&self, other: &Self) -> bool {
         self.evidence() == other.evidence()
--- a/crates/fuchsiabay-gateway/src/crash_persistence.rs
+++ b/crates/fuchsiabay-gateway/src/crash_persistence.rs
@@ -17,14 +17,14 @@
 /// Delay after a failed call.
 const RETRY_DELAY: Duration = Duration::from_millis(1_000);
 
-/// The time after which a record is written again, in milliseconds. It states ages, because the time of day may jump, so the crashes
-/// of a record that is read later look younger by up to this time and the time for which no instance ran or reached the store.
-const REFRESH_MS: u64 = 30_000;
+/// The time after which a record is written again, in milliseconds. It states ages, because the time of day may jump. A record that
+/// is loaded counts as this much older, so that crashes expire although all instances are killed again and again.
+const REFRESH_MS: u64 = 5_000;
 
 /// Loads the record and keeps it up to date. Never returns.
 pub(crate) async fn run<S: CrashStore>(gateway: Arc<Gateway>, store: S) {
     let mut dependency = DependencyStatus::new("crashes");
-    let mut persistence = CrashPersistence { gateway, store, stored: None };
+    let mut persistence = CrashPersistence { gateway, store, has_loaded: false, stored: None };
     loop {
         let delay = match persistence.sync().await {
             Ok(()) => {
@@ -43,6 +43,8 @@
 struct CrashPersistence<S> {
     gateway: Arc<Gateway>,
     store: S,
+    /// Whether this process has loaded a record before.
+    has_loaded: bool,
     /// None until the record has been loaded, and after another instance has replaced it.
     stored: Option<StoredRecord>,
 }
@@ -75,7 +77,8 @@
     }
 
     async fn load(&mut self) -> Result<(), SourceError> {
-        let (record, position) = self.store.load().await?;
+        let (mut record, position) = self.store.load().await?;
+        record.add_age(REFRESH_MS);
         let now = monotonic_now();
         // The ages in a record from before a restore are those of the time at which the copy was made.
         let is_current = record.store_epoch == position.epoch;
@@ -85,7 +88,10 @@
         if is_current {
             self.gateway.crashes().restore(&record, now);
         }
-        self.stored = Some(StoredRecord { record, position, refresh_at: now.plus_millis(REFRESH_MS) });
+        // The first record is of processes that may have ended, so it is written again at once with the new ages.
+        let is_first = !std::mem::replace(&mut self.has_loaded, true);
+        let refresh_at = if is_first { now } else { now.plus_millis(REFRESH_MS) };
+        self.stored = Some(StoredRecord { record, position, refresh_at });
         Ok(())
     }
 
--- a/crates/fuchsiabay-gateway/tests/crash_persistence.rs
+++ b/crates/fuchsiabay-gateway/tests/crash_persistence.rs
@@ -30,6 +30,9 @@
 /// The time after which a crash counts and is saved, with a margin.
 const SAVED: Duration = Duration::from_millis(2_000);
 
+/// The time by which crashes age at least in each life of the processes, in milliseconds. 60 lives end each quarantine.
+const MIN_AGEING_MS: u64 = 5_000;
+
 /// Starts servers and one instance, which knows the store's other members as well as itself.
 async fn start() -> (CrashingFleet, Harness) {
     let platform = FakePlatform::default();
@@ -88,6 +91,25 @@
     record_of_an_older_copy_of_the_store_is_ignored(1, CRASHES);
 }
 
+/// Guards against a quarantine that never ends because all processes are killed before they save the record with the present ages.
+#[test]
+fn crashes_age_although_all_processes_are_killed_soon() {
+    smol::block_on(async {
+        let (_fleet, harness) = start().await;
+        send_bad(&harness, CRASHES).await;
+        Timer::after(SAVED).await;
+        let mut record = harness.platform.crashes.lock().unwrap().0.clone();
+        for _ in 0..2 {
+            let ages = record.crashes.iter().map(|crash| crash.age_ms).min();
+            let restarted = start_instance(after_a_kill(&harness.platform, record, 0)).await;
+            Timer::after(SAVED).await;
+            record = restarted.platform.crashes.lock().unwrap().0.clone();
+            let later = record.crashes.iter().map(|crash| crash.age_ms).min();
+            assert!(later >= ages.map(|ms| ms + MIN_AGEING_MS), "{ages:?} {later:?}");
+        }
+    });
+}
+
 /// Guards against a record that is lost because the store returns from a copy without it.
 #[test]
 fn record_is_saved_again_after_a_restore_of_the_store() {
